--- /dev/null
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
@@ -0,0 +1,193 @@
+package org.jackdawslip.internal.balance;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.jackdawslip.InstanceId;
+
+/**
+ * What one instance knows about the load and the health of one backend server.
+ *
+ * <p>Invariant: the in-flight count is the number of sends that were neither answered nor given up. Not thread-safe.
+ */
+public final class BackendTracker {
+
+    /** Half-life of the pace in a load report, in milliseconds. Noisy neighbours come and go within about 400 ms. */
+    private static final double PACE_HALF_LIFE_MILLIS = 300;
+    /** Age after which the queue of a load report says nothing, in milliseconds. */
+    private static final double QUEUE_HALF_LIFE_MILLIS = 100;
+    /** Weight of the newest service time in the running mean. */
+    private static final double SPEED_WEIGHT = 0.12;
+    /** Weight of the newest outcome in the failure rate. */
+    private static final double FAILURE_WEIGHT = 0.15;
+    /** Bounds of the relative service time, so that a few odd requests do not exclude a server. */
+    private static final double MIN_RATIO = 0.35;
+
+    private static final double MAX_RATIO = 6;
+    /** First pause after a server could not be reached, in milliseconds; it doubles up to the longest pause. */
+    private static final long FIRST_PAUSE_MILLIS = 250;
+
+    private static final long LONGEST_PAUSE_MILLIS = 2_000;
+
+    private Backend backend;
+    private final WarmupPacer pacer = new WarmupPacer();
+    private final Map<InstanceId, Integer> peerInFlight = new HashMap<>();
+    private int inFlight;
+    private int peerTotal;
+    private double ratio = 1;
+    private double failureRate;
+    private LoadReport report;
+    private long reportAt;
+    private long coldUntil = Long.MIN_VALUE;
+    private long pausedUntil = Long.MIN_VALUE;
+    private long pauseMillis;
+
+    /** Starts to track a server. */
+    public BackendTracker(Backend backend, long now) {
+        this.backend = backend;
+        coldFor(backend.warmupRemainingMillis(), now);
+    }
+
+    /** Returns the newest listing of the server. */
+    public Backend backend() {
+        return backend;
+    }
+
+    /** Takes a newer listing of the same life. */
+    public void update(Backend newer, long now) {
+        backend = newer;
+        if (newer.warmupRemainingMillis() > 0) {
+            coldFor(newer.warmupRemainingMillis(), now);
+        } else {
+            coldUntil = Long.MIN_VALUE;
+        }
+    }
+
+    /** Treats the server as cold for the duration, unless it is already for longer. */
+    public void coldFor(long millis, long now) {
+        if (millis > 0) {
+            coldUntil = Math.max(coldUntil, now + millis);
+        }
+    }
+
+    /** Returns whether the server is cold. */
+    public boolean cold(long now) {
+        return now < coldUntil;
+    }
+
+    /** Returns the pacer for the time in which the server is cold. */
+    public WarmupPacer pacer() {
+        return pacer;
+    }
+
+    /** Counts a send. */
+    public void sent() {
+        inFlight++;
+    }
+
+    /** Counts a send that was given up or failed without an answer. */
+    public void abandoned() {
+        inFlight--;
+    }
+
+    /**
+     * Counts an answer of a request that ran.
+     *
+     * @param elapsedMillis time from the send to the answer
+     * @param expectedMillis time that the route usually takes
+     * @param success whether the server answered with success
+     */
+    public void answered(double elapsedMillis, double expectedMillis, boolean success) {
+        inFlight--;
+        pauseMillis = 0;
+        failureRate += FAILURE_WEIGHT * ((success ? 0 : 1) - failureRate);
+        if (success && expectedMillis > 0) {
+            double newest = Math.max(MIN_RATIO, Math.min(MAX_RATIO, elapsedMillis / expectedMillis));
+            ratio += SPEED_WEIGHT * (newest - ratio);
+        }
+    }
+
+    /** Counts an answer that says that the request did not run. */
+    public void refused() {
+        inFlight--;
+    }
+
+    /** Counts a lost connection or a lost answer. */
+    public void failed() {
+        inFlight--;
+        failureRate += FAILURE_WEIGHT * (1 - failureRate);
+    }
+
+    /** Avoids the server for a while because it could not be reached. */
+    public void unreachable(long now) {
+        pauseMillis = pauseMillis == 0 ? FIRST_PAUSE_MILLIS : Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
+        pausedUntil = now + pauseMillis;
+    }
+
+    /** Returns whether the server could not be reached shortly before. */
+    public boolean paused(long now) {
+        return now < pausedUntil;
+    }
+
+    /** Takes a load report that is as old as given. */
+    public void report(LoadReport newest, long now, long ageMillis) {
+        if (report == null || now - ageMillis >= reportAt) {
+            report = newest;
+            reportAt = now - ageMillis;
+        }
+    }
+
+    /** Takes the number of requests that a peer has in flight at the server. */
+    public void peerInFlight(InstanceId peer, int count) {
+        Integer before = count == 0 ? peerInFlight.remove(peer) : peerInFlight.put(peer, count);
+        peerTotal += count - (before == null ? 0 : before);
+    }
+
+    /** Forgets a peer that is gone. */
+    public void forgetPeer(InstanceId peer) {
+        peerInFlight(peer, 0);
+    }
+
+    /** Returns the number of requests that this instance has in flight at the server. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns the estimated number of requests at the server, from all instances. */
+    public double busy(long now) {
+        double known = inFlight + peerTotal;
+        if (report == null) {
+            return known;
+        }
+        double trust = Math.pow(0.5, (now - reportAt) / QUEUE_HALF_LIFE_MILLIS);
+        return Math.max(known, trust * (report.running() + report.waiting()));
+    }
+
+    /** Returns the factor by which work takes longer at the moment because of neighbours. */
+    public double pace(long now) {
+        if (report == null) {
+            return 1;
+        }
+        double trust = Math.pow(0.5, (now - reportAt) / PACE_HALF_LIFE_MILLIS);
+        return 1 + trust * (report.pacePercent() / 100.0 - 1);
+    }
+
+    /**
+     * Returns the expected time until an answer, in milliseconds.
+     *
+     * @param usualMillis time that the route usually takes at a free server of usual speed
+     */
+    public double expectedMillis(double usualMillis, long now) {
+        double slots = Math.max(1, backend.slots());
+        double busy = busy(now);
+        double waiting = Math.max(0, busy + 1 - slots);
+        double service = usualMillis * ratio * pace(now);
+        double crowding = 1 + 0.1 * Math.min(1, busy / slots);
+        return service * (crowding + waiting / slots) * (1 + 3 * failureRate);
+    }
+
+    /** Returns the running mean of the service time relative to the usual one. */
+    public double ratio() {
+        return ratio;
+    }
+}
--- /dev/null
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
@@ -0,0 +1,327 @@
+package org.jackdawslip.internal.keyspace;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.jackdawslip.BackendServerId;
+import org.jackdawslip.FencingToken;
+import org.jackdawslip.internal.balance.Backend;
+
+/**
+ * Decides which backend server owns which key slots of one service. Runs at the instance that holds the lease on this
+ * role, and only while that lease is valid.
+ *
+ * <p>Invariants:
+ *
+ * <ul>
+ *   <li>A segment gets a new owner only after its previous owner confirmed the release, after its longest possible hold
+ *       has passed, or after another life of the owner is known.
+ *   <li>The table with the new owner and its higher token is durable before the grant is sent.
+ *   <li>At most one call about a segment is under way.
+ * </ul>
+ *
+ * <p>A custodian that takes over renews all segments of the durable table with unchanged tokens, so owners go on
+ * serving. It counts every hold as if it were renewed at that moment. Not thread-safe.
+ */
+public final class KeyCustodian {
+
+    /** Segments for each owner when keys are first dealt, interleaved because busy keys are neighbours. */
+    private static final int FIRST_SEGMENTS_PER_OWNER = 4;
+    /** Added to the next token when a server has seen a higher one than the table knows. */
+    private static final long TOKEN_STEP = 1_000;
+
+    private enum Phase {
+        /** An owner is named in the durable table. */
+        OWNED,
+        /** The owner is asked to give the segment up. */
+        RELEASING,
+        /** Nobody owns the segment. */
+        FREE,
+        /** A new owner is being made durable. */
+        SAVING
+    }
+
+    /** One segment and the calls about it. */
+    private static final class Part {
+        final int first;
+        final int last;
+        KeySegment segment;
+        Phase phase;
+        long heldUntil;
+        long nextCallAt;
+        boolean calling;
+        String handover;
+        BackendServerId target;
+
+        Part(int first, int last, Phase phase) {
+            this.first = first;
+            this.last = last;
+            this.phase = phase;
+        }
+    }
+
+    private final KeyTiming timing;
+    private final KeyOrders orders;
+    private final TreeMap<Integer, Part> parts = new TreeMap<>();
+    private final Map<BackendServerId, Backend> lastListed = new HashMap<>();
+    private FencingToken nextToken;
+    private boolean saving;
+
+    /** Takes over the durable table, or deals the keys anew if it is empty. */
+    public KeyCustodian(KeyTiming timing, KeyOrders orders, KeyTable table, long now) {
+        this.timing = timing;
+        this.orders = orders;
+        this.nextToken = table.nextToken();
+        int next = 0;
+        for (KeySegment segment : table.segments()) {
+            addFree(next, segment.first() - 1);
+            Part part = new Part(segment.first(), segment.last(), Phase.OWNED);
+            part.segment = segment;
+            part.heldUntil = now + timing.longestHoldMillis();
+            part.nextCallAt = now;
+            parts.put(part.first, part);
+            next = segment.last() + 1;
+        }
+        addFree(next, KeySegment.SLOTS - 1);
+    }
+
+    private void addFree(int first, int last) {
+        if (first <= last) {
+            parts.put(first, new Part(first, last, Phase.FREE));
+        }
+    }
+
+    /**
+     * Makes the calls that are due.
+     *
+     * @param listed all backend servers of the service that discovery lists
+     * @param capacities the servers that may own keys, with their relative speed
+     */
+    public void tick(
+            Map<BackendServerId, Backend> listed, Map<BackendServerId, Double> capacities, KeyLoads loads, long now) {
+        lastListed.putAll(listed);
+        for (Part part : List.copyOf(parts.values())) {
+            if (part.phase == Phase.OWNED) {
+                keep(part, listed, capacities, now);
+            }
+            if (part.phase == Phase.RELEASING) {
+                release(part, listed, now);
+            }
+        }
+        if (!saving) {
+            assign(capacities, loads);
+        }
+    }
+
+    private void keep(
+            Part part, Map<BackendServerId, Backend> listed, Map<BackendServerId, Double> capacities, long now) {
+        Backend owner = listed.get(part.segment.owner());
+        boolean sameLife = owner != null && owner.startedAtMillis() == part.segment.ownerStartedAtMillis();
+        if (sameLife && capacities.containsKey(owner.id())) {
+            if (!part.calling && now >= part.nextCallAt) {
+                part.calling = true;
+                part.heldUntil = Math.max(part.heldUntil, now + timing.longestHoldMillis());
+                orders.grant(owner, part.segment, part.handover);
+            }
+        } else if (!capacities.isEmpty()) {
+            part.phase = Phase.RELEASING;
+            part.nextCallAt = now;
+        }
+    }
+
+    private void release(Part part, Map<BackendServerId, Backend> listed, long now) {
+        Backend owner = lastListed.get(part.segment.owner());
+        if (now >= part.heldUntil || ended(part.segment, owner, listed)) {
+            free(part, null);
+        } else if (!part.calling && now >= part.nextCallAt && owner != null) {
+            part.calling = true;
+            orders.release(owner, part.segment);
+        }
+    }
+
+    /** Returns whether the life of the owner is over: its id has another life or its address another server. */
+    private static boolean ended(KeySegment segment, Backend lastListed, Map<BackendServerId, Backend> listed) {
+        Backend now = listed.get(segment.owner());
+        if (now != null) {
+            return now.startedAtMillis() != segment.ownerStartedAtMillis();
+        }
+        return lastListed != null
+                && listed.values().stream().anyMatch(other -> other.address().equals(lastListed.address()));
+    }
+
+    private void free(Part part, String handover) {
+        part.phase = Phase.FREE;
+        part.handover = handover;
+        part.calling = false;
+    }
+
+    private void assign(Map<BackendServerId, Double> capacities, KeyLoads loads) {
+        List<Part> free =
+                parts.values().stream().filter(part -> part.phase == Phase.FREE).toList();
+        if (free.isEmpty() || capacities.isEmpty()) {
+            return;
+        }
+        if (free.size() == 1 && free.get(0).first == 0 && free.get(0).last == KeySegment.SLOTS - 1) {
+            free = deal(FIRST_SEGMENTS_PER_OWNER * capacities.size());
+        }
+        Map<BackendServerId, Double> owned = owned(capacities, loads);
+        FencingToken token = nextToken;
+        for (Part part : free) {
+            boolean targetUsable = part.target != null && capacities.containsKey(part.target);
+            BackendServerId owner = targetUsable ? part.target : leastLoaded(owned, capacities);
+            owned.merge(owner, weight(part, loads), Double::sum);
+            part.phase = Phase.SAVING;
+            part.target = null;
+            part.segment = new KeySegment(
+                    part.first, part.last, owner, lastListed.get(owner).startedAtMillis(), token);
+        }
+        nextToken = token.next();
+        saving = true;
+        orders.save(table());
+    }
+
+    private List<Part> deal(int count) {
+        parts.clear();
+        int size = KeySegment.SLOTS / count / KeyLoads.BLOCK * KeyLoads.BLOCK;
+        for (int i = 0; i < count; i++) {
+            addFree(i * size, i == count - 1 ? KeySegment.SLOTS - 1 : (i + 1) * size - 1);
+        }
+        return List.copyOf(parts.values());
+    }
+
+    private Map<BackendServerId, Double> owned(Map<BackendServerId, Double> capacities, KeyLoads loads) {
+        Map<BackendServerId, Double> owned = new TreeMap<>();
+        capacities.keySet().forEach(owner -> owned.put(owner, 0.0));
+        for (Part part : parts.values()) {
+            if (part.phase == Phase.OWNED) {
+                owned.computeIfPresent(part.segment.owner(), (owner, load) -> load + weight(part, loads));
+            }
+        }
+        return owned;
+    }
+
+    /** Weighs a part by its load; the size decides as long as no load is known. */
+    private static double weight(Part part, KeyLoads loads) {
+        double perSlot = (loads.total() + 1) / KeySegment.SLOTS;
+        return loads.load(part.first, part.last) + 0.2 * perSlot * (part.last - part.first + 1);
+    }
+
+    private static BackendServerId leastLoaded(
+            Map<BackendServerId, Double> owned, Map<BackendServerId, Double> capacities) {
+        return owned.entrySet().stream()
+                .min(Comparator.comparingDouble(entry -> entry.getValue() / capacities.get(entry.getKey())))
+                .orElseThrow()
+                .getKey();
+    }
+
+    /** Returns the current owners, the ones being made durable included. */
+    private KeyTable table() {
+        List<KeySegment> segments = new ArrayList<>();
+        for (Part part : parts.values()) {
+            if (part.phase != Phase.FREE) {
+                segments.add(part.segment);
+            }
+        }
+        return new KeyTable(segments, nextToken);
+    }
+
+    /** Takes the answer to {@link KeyOrders#save}: the table is durable. */
+    public void saved(long now) {
+        saving = false;
+        for (Part part : parts.values()) {
+            if (part.phase == Phase.SAVING) {
+                part.phase = Phase.OWNED;
+                part.calling = false;
+                part.heldUntil = now;
+                part.nextCallAt = now;
+            }
+        }
+    }
+
+    /** Takes the answer to {@link KeyOrders#grant}. */
+    public void granted(KeySegment segment, GrantResult result, long now) {
+        Part part = parts.get(segment.first());
+        if (part == null || !segment.equals(part.segment) || !part.calling) {
+            return;
+        }
+        part.calling = false;
+        switch (result) {
+            case ACCEPTED -> {
+                part.handover = null;
+                part.nextCallAt = now + timing.renewMillis();
+            }
+            case STALE_TOKEN -> {
+                nextToken = new FencingToken(nextToken.value() + TOKEN_STEP);
+                part.phase = Phase.RELEASING;
+                part.nextCallAt = now;
+            }
+            case UNKNOWN -> part.nextCallAt = now + timing.retryMillis();
+            default -> throw new IllegalStateException("grant result " + result);
+        }
+    }
+
+    /**
+     * Takes the answer to {@link KeyOrders#release}.
+     *
+     * @param confirmed whether the server confirmed it
+     * @param handover the state for the next owner, or null
+     */
+    public void released(KeySegment segment, boolean confirmed, String handover, long now) {
+        Part part = parts.get(segment.first());
+        if (part == null || !segment.equals(part.segment) || part.phase != Phase.RELEASING) {
+            return;
+        }
+        part.calling = false;
+        if (confirmed) {
+            free(part, handover);
+        } else {
+            part.nextCallAt = now + timing.retryMillis();
+        }
+    }
+
+    /** Starts to move slots to other owners. Parts that are not at rest are left out. */
+    public void move(List<KeyMove> moves, long now) {
+        for (KeyMove move : moves) {
+            Map.Entry<Integer, Part> entry = parts.floorEntry(move.first());
+            Part part = entry == null ? null : entry.getValue();
+            if (part != null && part.phase == Phase.OWNED && !part.calling && move.last() <= part.last) {
+                Part moved = split(part, move);
+                moved.target = move.target();
+                moved.phase = Phase.RELEASING;
+                moved.nextCallAt = now;
+            }
+        }
+    }
+
+    private Part split(Part part, KeyMove move) {
+        parts.remove(part.first);
+        addOwned(part, part.first, move.first() - 1);
+        addOwned(part, move.last() + 1, part.last);
+        return addOwned(part, move.first(), move.last());
+    }
+
+    private Part addOwned(Part whole, int first, int last) {
+        if (first > last) {
+            return null;
+        }
+        Part part = new Part(first, last, Phase.OWNED);
+        part.segment = whole.segment.part(first, last);
+        part.heldUntil = whole.heldUntil;
+        part.nextCallAt = whole.nextCallAt;
+        part.handover = whole.handover;
+        parts.put(first, part);
+        return part;
+    }
+
+    /** Returns the segments that have an owner and are not about to move. */
+    public List<KeySegment> ownedSegments() {
+        return parts.values().stream()
+                .filter(part -> part.phase == Phase.OWNED)
+                .map(part -> part.segment)
+                .toList();
+    }
+}
--- /dev/null
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyTable.java
@@ -0,0 +1,60 @@
+package org.jackdawslip.internal.keyspace;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.jackdawslip.FencingToken;
+
+/**
+ * The owners of all key slots of one service. Immutable and thread-safe.
+ *
+ * <p>Invariants: segments are ordered and do not overlap; no segment has a token at or above the next token. Slots
+ * without a segment have no owner.
+ */
+public final class KeyTable {
+
+    private final List<KeySegment> segments;
+    private final FencingToken nextToken;
+
+    /** Makes a table from segments in any order. */
+    public KeyTable(List<KeySegment> segments, FencingToken nextToken) {
+        List<KeySegment> sorted = new ArrayList<>(segments);
+        sorted.sort(Comparator.comparingInt(KeySegment::first));
+        this.segments = List.copyOf(sorted);
+        this.nextToken = nextToken;
+    }
+
+    /** Returns a table without owners. */
+    public static KeyTable empty() {
+        return new KeyTable(List.of(), new FencingToken(1));
+    }
+
+    /** Returns the segments in order. */
+    public List<KeySegment> segments() {
+        return segments;
+    }
+
+    /** Returns the token for the next grant. */
+    public FencingToken nextToken() {
+        return nextToken;
+    }
+
+    /** Returns the segment of the slot, or null if it has no owner. */
+    public KeySegment find(int slot) {
+        int low = 0;
+        int high = segments.size() - 1;
+        while (low <= high) {
+            int middle = (low + high) >>> 1;
+            KeySegment segment = segments.get(middle);
+            if (slot < segment.first()) {
+                high = middle - 1;
+            } else if (slot > segment.last()) {
+                low = middle + 1;
+            } else {
+                return segment;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/traffic/RoutingConfig.java
@@ -0,0 +1,85 @@
+package org.jackdawslip.internal.traffic;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+import org.jackdawslip.ServiceName;
+
+/**
+ * One version of the operator's routes, services and limits. Immutable and thread-safe.
+ *
+ * <p>Invariant: the routes of a host are ordered from the longest prefix to the shortest, so that the first match is
+ * the most specific one.
+ */
+public final class RoutingConfig {
+
+    private final long version;
+    private final Map<String, List<HostRoute>> routesByHost = new HashMap<>();
+    private final Map<ServiceName, ServiceConfig> services = new HashMap<>();
+    private final CallerLimits limits;
+
+    /** Makes a configuration from its parts. */
+    public RoutingConfig(
+            long version, List<HostRoute> routes, List<ServiceConfig> serviceConfigs, CallerLimits limits) {
+        this.version = version;
+        this.limits = limits;
+        for (HostRoute route : routes) {
+            routesByHost
+                    .computeIfAbsent(normalize(route.host()), host -> new ArrayList<>())
+                    .add(route);
+        }
+        Comparator<HostRoute> longestFirst =
+                Comparator.comparingInt(route -> -route.prefix().length());
+        routesByHost.values().forEach(list -> list.sort(longestFirst));
+        serviceConfigs.forEach(service -> services.put(service.name(), service));
+    }
+
+    /** Returns the version; a higher one replaces a lower one. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns the limits for callers. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns all services by name. */
+    public Map<ServiceName, ServiceConfig> services() {
+        return Map.copyOf(services);
+    }
+
+    /** Returns the service, or null if the configuration does not name it. */
+    public ServiceConfig service(ServiceName name) {
+        return services.get(name);
+    }
+
+    /**
+     * Finds the route with the longest prefix that begins the path.
+     *
+     * @param hostHeader the value of the host header, with or without a port; may be null
+     * @param path the path without the query
+     */
+    public Optional<HostRoute> route(String hostHeader, String path) {
+        if (hostHeader == null) {
+            return Optional.empty();
+        }
+        for (HostRoute route : routesByHost.getOrDefault(normalize(hostHeader), List.of())) {
+            if (path.startsWith(route.prefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String normalize(String host) {
+        int colon = host.lastIndexOf(':');
+        String name = colon > 0 && host.indexOf(']') < colon ? host.substring(0, colon) : host;
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/traffic/WeightedService.java
@@ -0,0 +1,26 @@
+package org.jackdawslip.internal.traffic;
+
+import org.jackdawslip.ErrorCode;
+import org.jackdawslip.JackdawslipException;
+import org.jackdawslip.ServiceName;
+
+/**
+ * One service of a route and its share of the requests. Immutable and thread-safe.
+ *
+ * @param service the service
+ * @param weight the share, relative to the other weights of the route; 0 sends nothing
+ */
+public record WeightedService(ServiceName service, int weight) {
+
+    /**
+     * Checks the weight.
+     *
+     * @throws JackdawslipException with {@link ErrorCode#INVALID_BUNDLE} if it is negative
+     */
+    public WeightedService {
+        if (weight < 0) {
+            throw new JackdawslipException(
+                    ErrorCode.INVALID_BUNDLE, "weight " + weight + " of " + service + " is negative");
+        }
+    }
+}
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -0,0 +1,213 @@
+package org.jackdawslip.internal.gateway;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.netty.channel.EventLoopGroup;
+import org.jackdawslip.BackendServerId;
+import org.jackdawslip.FailureDomainId;
+import org.jackdawslip.InstanceId;
+import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.balance.Backend;
+import org.jackdawslip.internal.balance.BackendTracker;
+import org.jackdawslip.internal.logging.EventLog;
+import org.jackdawslip.internal.time.MonotonicClock;
+import org.jackdawslip.internal.traffic.RoutingConfig;
+import org.jackdawslip.internal.traffic.ServiceConfig;
+
+/**
+ * The backend servers that discovery lists, with what this instance knows about each and its connections to it.
+ *
+ * <p>Invariant: a server that is draining, gone or in a failure domain that is taken out gets no new request. Confined
+ * to the event loop.
+ */
+final class BackendDirectory {
+
+    /** Connections to one server that each instance may always open, whatever its share of the limit is. */
+    private static final int MIN_CONNECTIONS = 2;
+    /** Part of a server's connection limit that callers use; the rest is for grants and health checks. */
+    private static final double CALLER_CONNECTION_SHARE = 0.8;
+
+    /** One server with its connections. */
+    static final class Target {
+        final String entry;
+        final BackendTracker tracker;
+        final ConnectionPool pool;
+
+        Target(String entry, BackendTracker tracker, ConnectionPool pool) {
+            this.entry = entry;
+            this.tracker = tracker;
+            this.pool = pool;
+        }
+
+        Backend backend() {
+            return tracker.backend();
+        }
+    }
+
+    private final EventLoopGroup loop;
+    private final MonotonicClock clock;
+    private final EventLog log;
+    private final long heartbeatMillis;
+    private final Map<String, Target> byEntry = new HashMap<>();
+    private final Map<BackendServerId, Target> byId = new HashMap<>();
+    private final Map<BackendTracker, Target> byTracker = new HashMap<>();
+    private final Map<ServiceName, Map<String, BackendTracker>> byService = new HashMap<>();
+    private final Set<FailureDomainId> takenOut = new HashSet<>();
+    private int instances = 1;
+    private RoutingConfig config;
+
+    BackendDirectory(EventLoopGroup loop, MonotonicClock clock, EventLog log, long heartbeatMillis) {
+        this.loop = loop;
+        this.clock = clock;
+        this.log = log;
+        this.heartbeatMillis = heartbeatMillis;
+    }
+
+    void listed(String entry, Backend backend) {
+        long now = clock.millis();
+        Target known = byEntry.get(entry);
+        if (known != null
+                && known.backend().sameLife(backend)
+                && known.backend().address().equals(backend.address())) {
+            boolean changed = known.backend().draining() != backend.draining();
+            known.tracker.update(backend, now);
+            if (changed) {
+                log.info("backend-draining", "backend", backend.id(), "service", backend.service());
+            }
+            return;
+        }
+        removed(entry);
+        BackendTracker tracker = new BackendTracker(backend, now);
+        ConnectionPool pool =
+                new ConnectionPool(loop, clock, backend.host(), backend.port(), connections(backend.service()));
+        Target target = new Target(entry, tracker, pool);
+        byEntry.put(entry, target);
+        byId.put(backend.id(), target);
+        byTracker.put(tracker, target);
+        byService
+                .computeIfAbsent(backend.service(), service -> new LinkedHashMap<>())
+                .put(entry, tracker);
+        log.info(
+                "backend-listed",
+                "backend",
+                backend.id(),
+                "service",
+                backend.service(),
+                "address",
+                backend.address(),
+                "domain",
+                backend.domain(),
+                "coldMillis",
+                backend.warmupRemainingMillis());
+    }
+
+    void removed(String entry) {
+        Target target = byEntry.remove(entry);
+        if (target != null) {
+            byId.remove(target.backend().id(), target);
+            byTracker.remove(target.tracker);
+            byService.get(target.backend().service()).remove(entry);
+            target.pool.closeIdle();
+            log.info(
+                    "backend-removed",
+                    "backend",
+                    target.backend().id(),
+                    "service",
+                    target.backend().service());
+        }
+    }
+
+    Set<String> entries() {
+        return Set.copyOf(byEntry.keySet());
+    }
+
+    void takenOut(FailureDomainId domain, boolean out) {
+        boolean changed = out ? takenOut.add(domain) : takenOut.remove(domain);
+        if (!changed) {
+            return;
+        }
+        log.info(out ? "domain-taken-out" : "domain-brought-back", "domain", domain);
+        if (!out) {
+            // Its servers may be cold; their next listing tells.
+            long now = clock.millis();
+            for (Target target : byEntry.values()) {
+                if (target.backend().domain().equals(domain)) {
+                    target.tracker.coldFor(2 * heartbeatMillis, now);
+                }
+            }
+        }
+    }
+
+    Set<FailureDomainId> takenOut() {
+        return Set.copyOf(takenOut);
+    }
+
+    /** Returns whether new requests may be sent to the server. */
+    boolean admits(Backend backend) {
+        return !backend.draining() && !takenOut.contains(backend.domain());
+    }
+
+    Collection<BackendTracker> trackers(ServiceName service) {
+        return byService.getOrDefault(service, Map.of()).values();
+    }
+
+    Target target(BackendTracker tracker) {
+        return byTracker.get(tracker);
+    }
+
+    Target find(BackendServerId id) {
+        return byId.get(id);
+    }
+
+    Collection<Target> all() {
+        return byEntry.values();
+    }
+
+    List<Backend> backends(ServiceName service) {
+        List<Backend> backends = new ArrayList<>();
+        trackers(service).forEach(tracker -> backends.add(tracker.backend()));
+        return backends;
+    }
+
+    /** Adapts the connection limits to the number of live instances. */
+    void instances(int live) {
+        if (live != instances) {
+            instances = live;
+            relimit();
+        }
+    }
+
+    void config(RoutingConfig newest) {
+        config = newest;
+        relimit();
+    }
+
+    private void relimit() {
+        byEntry.values()
+                .forEach(
+                        target -> target.pool.limit(connections(target.backend().service())));
+    }
+
+    private int connections(ServiceName service) {
+        ServiceConfig found = config == null ? null : config.service(service);
+        if (found == null) {
+            return MIN_CONNECTIONS;
+        }
+        return Math.max(MIN_CONNECTIONS, (int) (CALLER_CONNECTION_SHARE * found.maxConnections() / instances));
+    }
+
+    void forgetPeer(InstanceId peer) {
+        byEntry.values().forEach(target -> target.tracker.forgetPeer(peer));
+    }
+
+    void expireConnections() {
+        byEntry.values().forEach(target -> target.pool.expire());
+    }
+}
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerRequestData.java
@@ -0,0 +1,76 @@
+package org.jackdawslip.internal.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+
+/**
+ * A complete request of a caller. Confined to the event loop.
+ *
+ * @param method the method
+ * @param uri the path and query as received
+ * @param headers all headers as received
+ * @param body the body without transfer coding
+ * @param receivedAt when it was complete, by the monotonic clock in milliseconds
+ */
+record CallerRequestData(HttpMethod method, String uri, HttpHeaders headers, byte[] body, long receivedAt) {
+
+    /** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+    private static final Set<String> CONNECTION_HEADERS = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "expect",
+            "content-length");
+
+    String path() {
+        int end = 0;
+        while (end < uri.length() && uri.charAt(end) != '?' && uri.charAt(end) != '#') {
+            end++;
+        }
+        return uri.substring(0, end);
+    }
+
+    /** Makes the request for a backend server: the same method, path and body, without headers of the connection. */
+    FullHttpRequest forward() {
+        ByteBuf content = body.length == 0 ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body);
+        FullHttpRequest forwarded = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, content);
+        copyEndToEnd(headers, forwarded.headers());
+        if (body.length > 0 || !(method.equals(HttpMethod.GET) || method.equals(HttpMethod.HEAD))) {
+            forwarded.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
+        return forwarded;
+    }
+
+    /** Copies the headers that concern the whole way between caller and backend server. */
+    static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
+        List<String> named = new ArrayList<>();
+        for (String value : from.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String name : value.split(",")) {
+                named.add(name.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        from.forEach(header -> {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (!CONNECTION_HEADERS.contains(name) && !named.contains(name)) {
+                to.add(header.getKey(), header.getValue());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Context.java
@@ -0,0 +1,41 @@
+package org.jackdawslip.internal.gateway;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.jackdawslip.internal.logging.EventLog;
+import org.jackdawslip.internal.time.MonotonicClock;
+
+/**
+ * What every part of a gateway needs. Immutable; the parts are confined to the event loop.
+ *
+ * @param settings the settings
+ * @param loop the event loop
+ * @param clock the monotonic clock
+ * @param log the event log
+ * @param adapter the formats of the platform
+ * @param store the platform's store
+ */
+record Context(
+        GatewaySettings settings,
+        EventLoop loop,
+        MonotonicClock clock,
+        EventLog log,
+        PlatformAdapter adapter,
+        DurableStore store) {
+
+    /** Runs an action at an interval. A fault in it is logged and does not end the repetition. */
+    void every(long intervalMillis, String name, Runnable action) {
+        loop.scheduleAtFixedRate(
+                () -> {
+                    try {
+                        action.run();
+                    } catch (RuntimeException e) {
+                        log.warn("internal-fault", "task", name, "problem", e, "at", e.getStackTrace()[0]);
+                    }
+                },
+                intervalMillis,
+                intervalMillis,
+                TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ControlCalls.java
@@ -0,0 +1,75 @@
+package org.jackdawslip.internal.gateway;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+import io.netty.handler.codec.http.HttpMethod;
+import org.jackdawslip.internal.balance.Backend;
+
+/**
+ * Sends orders about keys to backend servers, a few at a time to each.
+ *
+ * <p>Invariant: an order is sent only while the condition holds at the moment of the send. Confined to the event loop.
+ */
+final class ControlCalls {
+
+    /** Orders under way at one server. A release is answered only when the work on its keys has ended. */
+    static final int LANES = 4;
+
+    private final HttpCaller caller;
+    private final BooleanSupplier permitted;
+    private final Map<String, Lane> lanes = new HashMap<>();
+
+    ControlCalls(HttpCaller caller, BooleanSupplier permitted) {
+        this.caller = caller;
+        this.permitted = permitted;
+    }
+
+    private record Order(PlatformAdapter.ControlCall call, long timeoutMillis, Consumer<HttpCaller.Answer> whenDone) {}
+
+    private static final class Lane {
+        final Deque<Order> waiting = new ArrayDeque<>();
+        int underWay;
+    }
+
+    void send(
+            Backend server,
+            PlatformAdapter.ControlCall call,
+            long timeoutMillis,
+            Consumer<HttpCaller.Answer> whenDone) {
+        Lane lane = lanes.computeIfAbsent(server.address(), address -> new Lane());
+        lane.waiting.addLast(new Order(call, timeoutMillis, whenDone));
+        next(server.address(), lane);
+    }
+
+    private void next(String address, Lane lane) {
+        while (lane.underWay < LANES && !lane.waiting.isEmpty()) {
+            Order order = lane.waiting.pollFirst();
+            if (!permitted.getAsBoolean()) {
+                order.whenDone().accept(HttpCaller.Answer.NONE);
+                continue;
+            }
+            lane.underWay++;
+            caller.call(
+                    address,
+                    HttpMethod.POST,
+                    order.call().uri(),
+                    order.call().body(),
+                    order.timeoutMillis(),
+                    answer -> {
+                        lane.underWay--;
+                        order.whenDone().accept(answer);
+                        next(address, lane);
+                    });
+        }
+    }
+
+    /** Forgets all orders that wait. */
+    void clear() {
+        lanes.clear();
+    }
+}
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeListener.java
@@ -0,0 +1,17 @@
+package org.jackdawslip.internal.gateway;
+
+import io.netty.handler.codec.http.FullHttpResponse;
+
+/** Hears how one exchange with a server ended. Called once on the event loop, except where stated. */
+interface ExchangeListener {
+
+    /**
+     * Takes an answer. The listener does not keep the answer's buffers.
+     *
+     * @return whether it belongs to the request; if not, the connection waits for a further answer
+     */
+    boolean answered(FullHttpResponse answer);
+
+    /** Takes the end without an answer. */
+    void failed(ExchangeFailure failure);
+}
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewayMetrics.java
@@ -0,0 +1,76 @@
+package org.jackdawslip.internal.gateway;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.jackdawslip.ErrorCode;
+import org.jackdawslip.internal.traffic.HostRoute;
+
+/**
+ * Counters and latency histograms of the gateway.
+ *
+ * <p>Labels are services, error codes and fixed words, never request ids, hosts or addresses, so the number of series
+ * is bounded by the configuration. Confined to the event loop.
+ */
+final class GatewayMetrics {
+
+    private static final Duration[] BUCKETS = {
+        Duration.ofMillis(10),
+        Duration.ofMillis(25),
+        Duration.ofMillis(50),
+        Duration.ofMillis(100),
+        Duration.ofMillis(200),
+        Duration.ofMillis(400),
+        Duration.ofMillis(800),
+        Duration.ofMillis(1_600),
+        Duration.ofMillis(3_200)
+    };
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<String, Counter> counters = new HashMap<>();
+    private final Map<String, Timer> timers = new HashMap<>();
+
+    /** Counts a decision by its kind. */
+    void count(String decision, String reason) {
+        counters.computeIfAbsent(decision + '/' + reason, key -> Counter.builder("jackdawslip.decisions")
+                        .tag("decision", decision)
+                        .tag("reason", reason)
+                        .register(registry))
+                .increment();
+    }
+
+    /** Counts an answer that this instance made itself. */
+    void refused(ErrorCode code) {
+        count("own-answer", code.name());
+    }
+
+    /** Takes the time and the status of an answer to a caller. */
+    void answered(HostRoute route, long millis, int status) {
+        String service = route.services().get(0).service().value();
+        String outcome = (status / 100) + "xx";
+        timers.computeIfAbsent(service + '/' + outcome, key -> Timer.builder("jackdawslip.requests")
+                        .tag("service", service)
+                        .tag("priority", Integer.toString(route.priority()))
+                        .tag("outcome", outcome)
+                        .serviceLevelObjectives(BUCKETS)
+                        .register(registry))
+                .record(Duration.ofMillis(millis));
+    }
+
+    /** Shows a value that is read when metrics are fetched. */
+    void gauge(String name, Supplier<Number> value) {
+        Gauge.builder("jackdawslip." + name, value).register(registry);
+    }
+
+    /** Returns all metrics in the text format of Prometheus. */
+    String text() {
+        return registry.scrape();
+    }
+}
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
@@ -0,0 +1,152 @@
+package org.jackdawslip.internal.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.jackdawslip.internal.time.MonotonicClock;
+
+/**
+ * Makes calls to the store, to control interfaces of backend servers and to peers.
+ *
+ * <p>Confined to the event loop.
+ */
+public final class HttpCaller {
+
+    private final EventLoopGroup loop;
+    private final MonotonicClock clock;
+    private final int connectionsPerAddress;
+    private final Map<String, ConnectionPool> pools = new HashMap<>();
+
+    /** Makes a caller that opens at most the given number of connections to each address. */
+    public HttpCaller(EventLoopGroup loop, MonotonicClock clock, int connectionsPerAddress) {
+        this.loop = loop;
+        this.clock = clock;
+        this.connectionsPerAddress = connectionsPerAddress;
+    }
+
+    /**
+     * The answer to a call. Immutable and thread-safe.
+     *
+     * @param status the HTTP status, or 0 if there was no answer
+     * @param headers the headers; empty if there was no answer
+     * @param body the body as text
+     */
+    public record Answer(int status, HttpHeaders headers, String body) {
+
+        /** The result of a call that was not made or got no answer. */
+        public static final Answer NONE = new Answer(0, EmptyHttpHeaders.INSTANCE, "");
+
+        /** Returns whether there was an answer. */
+        public boolean received() {
+            return status != 0;
+        }
+    }
+
+    /**
+     * Makes one call.
+     *
+     * @param address host and port, separated by a colon
+     * @param body the JSON body, or null
+     * @param whenDone hears the answer, or one with status 0 if there is none in time
+     */
+    public void call(
+            String address, HttpMethod method, String uri, String body, long timeoutMillis, Consumer<Answer> whenDone) {
+        new Call(address, whenDone).start(request(address, method, uri, body), timeoutMillis);
+    }
+
+    private static FullHttpRequest request(String address, HttpMethod method, String uri, String body) {
+        ByteBuf content =
+                body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body.getBytes(StandardCharsets.UTF_8));
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, content);
+        request.headers().set(HttpHeaderNames.HOST, address);
+        if (body != null) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        }
+        if (body != null || !method.equals(HttpMethod.GET)) {
+            request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+        }
+        return request;
+    }
+
+    private ConnectionPool pool(String address) {
+        return pools.computeIfAbsent(address, text -> {
+            int colon = text.lastIndexOf(':');
+            return new ConnectionPool(
+                    loop,
+                    clock,
+                    text.substring(0, colon),
+                    Integer.parseInt(text.substring(colon + 1)),
+                    connectionsPerAddress);
+        });
+    }
+
+    /** Closes the idle connections to an address that is no longer used. */
+    public void forget(String address) {
+        ConnectionPool pool = pools.remove(address);
+        if (pool != null) {
+            pool.closeIdle();
+        }
+    }
+
+    private final class Call implements ExchangeListener {
+        private final String address;
+        private final Consumer<Answer> whenDone;
+        private ConnectionPool.Exchange exchange;
+        private ScheduledFuture<?> timeout;
+        private boolean done;
+
+        Call(String address, Consumer<Answer> whenDone) {
+            this.address = address;
+            this.whenDone = whenDone;
+        }
+
+        void start(FullHttpRequest request, long timeoutMillis) {
+            exchange = pool(address).send(request, this);
+            if (!done) {
+                timeout = loop.next().schedule(this::timedOut, timeoutMillis, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void timedOut() {
+            exchange.giveUp();
+            failed(ExchangeFailure.TIMED_OUT);
+        }
+
+        @Override
+        public boolean answered(FullHttpResponse answer) {
+            String body = answer.content().toString(StandardCharsets.UTF_8);
+            finish(new Answer(answer.status().code(), answer.headers().copy(), body));
+            return true;
+        }
+
+        @Override
+        public void failed(ExchangeFailure failure) {
+            finish(new Answer(0, EmptyHttpHeaders.INSTANCE, failure.name()));
+        }
+
+        private void finish(Answer answer) {
+            if (!done) {
+                done = true;
+                if (timeout != null) {
+                    timeout.cancel(false);
+                }
+                whenDone.accept(answer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -0,0 +1,135 @@
+package org.jackdawslip.internal.gateway;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+
+/**
+ * One connection to a server, with one exchange at a time.
+ *
+ * <p>Invariant: bytes that arrive while no exchange is open belong to no request and end the connection. Confined to
+ * the event loop.
+ */
+final class HttpConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+    /** A server closes an idle connection after the announced time; this much earlier it is no longer used. */
+    private static final long CLOSE_MARGIN_MILLIS = 700;
+    /** Idle time after which a connection is no longer used if the server announced none. */
+    private static final long DEFAULT_IDLE_MILLIS = 4_000;
+
+    private final ConnectionPool pool;
+    private Channel channel;
+    private ExchangeListener listener;
+    private boolean reusable = true;
+    private boolean broken;
+    private long idleSince;
+    private long idleLimitMillis = DEFAULT_IDLE_MILLIS;
+
+    HttpConnection(ConnectionPool pool) {
+        this.pool = pool;
+    }
+
+    void opened(Channel open) {
+        channel = open;
+    }
+
+    /** Sends a request. The connection takes over the reference to it. */
+    void send(FullHttpRequest request, ExchangeListener newListener) {
+        listener = newListener;
+        channel.writeAndFlush(request, channel.voidPromise());
+    }
+
+    /** Gives up the open exchange, if any, and closes the connection. Its listener hears nothing. */
+    void abort() {
+        listener = null;
+        close();
+    }
+
+    boolean usable(long now) {
+        return reusable && channel.isActive() && now - idleSince < idleLimitMillis;
+    }
+
+    void close() {
+        reusable = false;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+        if (listener == null) {
+            close();
+            return;
+        }
+        if (answer.decoderResult().isFailure()) {
+            fail(ExchangeFailure.MALFORMED_ANSWER);
+            return;
+        }
+        if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return;
+        }
+        if (broken) {
+            return;
+        }
+        noteKeepAlive(answer);
+        ExchangeListener current = listener;
+        if (!current.answered(answer)) {
+            reusable = false;
+            return;
+        }
+        listener = null;
+        if (reusable) {
+            idleSince = pool.now();
+            pool.idle(this);
+        } else {
+            close();
+        }
+    }
+
+    private void noteKeepAlive(FullHttpResponse answer) {
+        if (!HttpUtil.isKeepAlive(answer)) {
+            reusable = false;
+        }
+        String keepAlive = answer.headers().get(HttpHeaderNames.KEEP_ALIVE);
+        int at = keepAlive == null ? -1 : keepAlive.indexOf("timeout=");
+        if (at >= 0) {
+            int end = at + "timeout=".length();
+            int start = end;
+            while (end < keepAlive.length() && Character.isDigit(keepAlive.charAt(end)) && end - start < 6) {
+                end++;
+            }
+            if (end > start) {
+                idleLimitMillis = Integer.parseInt(keepAlive, start, end, 10) * 1_000L - CLOSE_MARGIN_MILLIS;
+            }
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // A reset is followed by the end of the channel, at which an answer without a length would seem complete.
+        broken = true;
+        fail(ExchangeFailure.CONNECTION_LOST);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        reusable = false;
+        pool.closed(this);
+        fail(ExchangeFailure.CONNECTION_LOST);
+    }
+
+    private void fail(ExchangeFailure failure) {
+        ExchangeListener current = listener;
+        listener = null;
+        close();
+        if (current != null) {
+            current.failed(failure);
+        }
+    }
+}
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -0,0 +1,323 @@
+package org.jackdawslip.internal.gateway;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import org.jackdawslip.BackendServerId;
+import org.jackdawslip.ErrorCode;
+import org.jackdawslip.InstanceId;
+import org.jackdawslip.JackdawslipException;
+import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.balance.LoadReport;
+import org.jackdawslip.internal.logging.EventLog;
+import org.jackdawslip.internal.time.MonotonicClock;
+
+/**
+ * Tells the other instances how many requests this one has in flight at each backend server and what the servers
+ * reported, and tells the custodian of keys which keys were used.
+ *
+ * <p>Messages are single datagrams in the protobuf wire format; each states absolute values, so a lost or repeated one
+ * does no harm. Nothing that must hold depends on them. Confined to the event loop.
+ */
+final class PeerExchange {
+
+    /** Changes within this time travel in one datagram. */
+    private static final long BATCH_MILLIS = 8;
+    /** Interval at which all non-zero counts are repeated, because datagrams get lost. */
+    private static final long REPEAT_MILLIS = 1_000;
+    /** Interval at which used keys are sent. */
+    private static final long KEYS_MILLIS = 300;
+    /** A silent peer's counts are dropped after this time. */
+    private static final long SILENCE_MILLIS = 3_000;
+    /** Most entries in one datagram; 40 bytes each stay below the usual frame size. */
+    private static final int MAX_ENTRIES = 30;
+
+    private static final int FIELD_SENDER = 1;
+    private static final int FIELD_SERVER = 2;
+    private static final int FIELD_KEY = 3;
+    private static final int ENTRY_ID = 1;
+    private static final int ENTRY_IN_FLIGHT = 2;
+    private static final int ENTRY_RUNNING = 3;
+    private static final int ENTRY_WAITING = 4;
+    private static final int ENTRY_SLOTS = 5;
+    private static final int ENTRY_PACE = 6;
+    private static final int KEY_SERVICE = 1;
+    private static final int KEY_SLOT = 2;
+    private static final int KEY_WORK = 3;
+
+    /** Hears of used keys at the custodian. */
+    interface KeyListener {
+        void keyUsed(ServiceName service, int slot, double work);
+    }
+
+    private final Context context;
+    private final InstanceId self;
+    private final EventLoop loop;
+    private final MonotonicClock clock;
+    private final EventLog log;
+    private final BackendDirectory directory;
+    private final KeyListener keyListener;
+    private final Map<InstanceId, InetSocketAddress> peers = new HashMap<>();
+    private final Map<InstanceId, Long> heardAt = new HashMap<>();
+    private final Set<BackendDirectory.Target> changed = new HashSet<>();
+    private final Map<BackendDirectory.Target, LoadReport> reports = new HashMap<>();
+    private final List<KeyUse> keyUses = new ArrayList<>();
+    private InstanceId custodian;
+    private boolean flushScheduled;
+    private Channel channel;
+
+    private record KeyUse(ServiceName service, int slot, long work) {}
+
+    PeerExchange(Context context, BackendDirectory directory, KeyListener keyListener) {
+        this.context = context;
+        this.self = context.settings().instance();
+        this.loop = context.loop();
+        this.clock = context.clock();
+        this.log = context.log();
+        this.directory = directory;
+        this.keyListener = keyListener;
+    }
+
+    void start(InetSocketAddress address) {
+        try {
+            channel = new Bootstrap()
+                    .group(loop)
+                    .channel(NioDatagramChannel.class)
+                    .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                    .handler(new Receiver())
+                    .bind(address)
+                    .syncUninterruptibly()
+                    .channel();
+        } catch (Exception e) {
+            throw new JackdawslipException(
+                    ErrorCode.ADDRESS_IN_USE, "cannot bind " + address + ": " + e.getMessage(), e);
+        }
+        context.every(REPEAT_MILLIS, "peer-repeat", this::repeat);
+        context.every(KEYS_MILLIS, "peer-keys", this::sendKeys);
+    }
+
+    InstanceId self() {
+        return self;
+    }
+
+    void peers(Map<InstanceId, InetSocketAddress> live) {
+        for (InstanceId known : List.copyOf(peers.keySet())) {
+            if (!live.containsKey(known)) {
+                directory.forgetPeer(known);
+                heardAt.remove(known);
+            }
+        }
+        peers.clear();
+        peers.putAll(live);
+        peers.remove(self);
+    }
+
+    void custodian(InstanceId instance) {
+        custodian = instance;
+    }
+
+    void inFlightChanged(BackendDirectory.Target target) {
+        changed.add(target);
+        if (!flushScheduled) {
+            flushScheduled = true;
+            loop.schedule(this::flush, BATCH_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    void loadReported(BackendDirectory.Target target, LoadReport report) {
+        reports.put(target, report);
+        inFlightChanged(target);
+    }
+
+    void keyUsed(ServiceName service, int slot, long workMillis) {
+        if (self.equals(custodian)) {
+            keyListener.keyUsed(service, slot, workMillis);
+        } else if (custodian != null) {
+            keyUses.add(new KeyUse(service, slot, workMillis));
+        }
+    }
+
+    private void flush() {
+        flushScheduled = false;
+        send(List.copyOf(changed));
+        changed.clear();
+        reports.clear();
+    }
+
+    private void repeat() {
+        List<BackendDirectory.Target> busy = directory.all().stream()
+                .filter(target -> target.tracker.inFlight() > 0)
+                .toList();
+        send(busy);
+        long now = clock.millis();
+        heardAt.entrySet().removeIf(entry -> {
+            boolean silent = now - entry.getValue() > SILENCE_MILLIS;
+            if (silent) {
+                directory.forgetPeer(entry.getKey());
+                log.info("peer-silent", "peer", entry.getKey(), "silentMillis", now - entry.getValue());
+            }
+            return silent;
+        });
+    }
+
+    private void send(List<BackendDirectory.Target> targets) {
+        for (int from = 0; from < targets.size(); from += MAX_ENTRIES) {
+            List<BackendDirectory.Target> part = targets.subList(from, Math.min(targets.size(), from + MAX_ENTRIES));
+            byte[] bytes = encode(output -> {
+                for (BackendDirectory.Target target : part) {
+                    output.writeByteArray(FIELD_SERVER, encode(entry -> writeServer(entry, target)));
+                }
+            });
+            peers.values().forEach(peer -> send(peer, bytes));
+        }
+    }
+
+    private void writeServer(CodedOutputStream entry, BackendDirectory.Target target) throws IOException {
+        entry.writeString(ENTRY_ID, target.backend().id().value());
+        entry.writeInt32(ENTRY_IN_FLIGHT, target.tracker.inFlight());
+        LoadReport report = reports.get(target);
+        if (report != null) {
+            entry.writeInt32(ENTRY_RUNNING, report.running());
+            entry.writeInt32(ENTRY_WAITING, report.waiting());
+            entry.writeInt32(ENTRY_SLOTS, report.slots());
+            entry.writeInt32(ENTRY_PACE, report.pacePercent());
+        }
+    }
+
+    private void sendKeys() {
+        InetSocketAddress to = custodian == null ? null : peers.get(custodian);
+        if (to != null) {
+            for (int from = 0; from < keyUses.size(); from += MAX_ENTRIES) {
+                List<KeyUse> part = keyUses.subList(from, Math.min(keyUses.size(), from + MAX_ENTRIES));
+                send(to, encode(output -> {
+                    for (KeyUse use : part) {
+                        output.writeByteArray(FIELD_KEY, encode(entry -> writeKey(entry, use)));
+                    }
+                }));
+            }
+        }
+        keyUses.clear();
+    }
+
+    private static void writeKey(CodedOutputStream entry, KeyUse use) throws IOException {
+        entry.writeString(KEY_SERVICE, use.service().value());
+        entry.writeInt32(KEY_SLOT, use.slot());
+        entry.writeInt64(KEY_WORK, use.work());
+    }
+
+    private interface Content {
+        void write(CodedOutputStream output) throws IOException;
+    }
+
+    private static byte[] encode(Content content) {
+        ByteString.Output bytes = ByteString.newOutput(128);
+        CodedOutputStream output = CodedOutputStream.newInstance(bytes);
+        try {
+            content.write(output);
+            output.flush();
+        } catch (IOException e) {
+            throw new JackdawslipException(ErrorCode.INTERNAL, "encoding in memory failed", e);
+        }
+        return bytes.toByteString().toByteArray();
+    }
+
+    private void send(InetSocketAddress to, byte[] content) {
+        byte[] sender = encode(output -> output.writeString(FIELD_SENDER, self.value()));
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(sender, content), to), channel.voidPromise());
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            try {
+                read(CodedInputStream.newInstance(ByteBufUtil.getBytes(packet.content())));
+            } catch (IOException | JackdawslipException e) {
+                log.warn("peer-datagram-invalid", "from", packet.sender(), "problem", e.getMessage());
+            }
+        }
+
+        private void read(CodedInputStream input) throws IOException {
+            InstanceId sender = null;
+            for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
+                switch (WireFormat.getTagFieldNumber(tag)) {
+                    case FIELD_SENDER -> {
+                        sender = new InstanceId(input.readString());
+                        heardAt.put(sender, clock.millis());
+                    }
+                    case FIELD_SERVER -> readServer(sender, CodedInputStream.newInstance(input.readByteArray()));
+                    case FIELD_KEY -> readKey(CodedInputStream.newInstance(input.readByteArray()));
+                    default -> input.skipField(tag);
+                }
+            }
+        }
+
+        private void readServer(InstanceId sender, CodedInputStream input) throws IOException {
+            String id = "";
+            int[] numbers = new int[ENTRY_PACE + 1];
+            for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
+                int field = WireFormat.getTagFieldNumber(tag);
+                if (field == ENTRY_ID) {
+                    id = input.readString();
+                } else if (field <= ENTRY_PACE) {
+                    numbers[field] = input.readInt32();
+                } else {
+                    input.skipField(tag);
+                }
+            }
+            BackendDirectory.Target target = directory.find(new BackendServerId(id));
+            if (target == null || sender == null) {
+                return;
+            }
+            target.tracker.peerInFlight(sender, numbers[ENTRY_IN_FLIGHT]);
+            if (numbers[ENTRY_SLOTS] > 0) {
+                LoadReport report = new LoadReport(
+                        numbers[ENTRY_RUNNING], numbers[ENTRY_WAITING], numbers[ENTRY_SLOTS], numbers[ENTRY_PACE]);
+                target.tracker.report(report, clock.millis(), BATCH_MILLIS);
+            }
+        }
+
+        private void readKey(CodedInputStream input) throws IOException {
+            String service = "";
+            int slot = 0;
+            long work = 0;
+            for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
+                switch (WireFormat.getTagFieldNumber(tag)) {
+                    case KEY_SERVICE -> service = input.readString();
+                    case KEY_SLOT -> slot = input.readInt32();
+                    case KEY_WORK -> work = input.readInt64();
+                    default -> input.skipField(tag);
+                }
+            }
+            keyListener.keyUsed(new ServiceName(service), slot & 0xFFFF, work);
+        }
+    }
+}
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -0,0 +1,189 @@
+package org.jackdawslip.internal.gateway;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoop;
+import org.jackdawslip.internal.logging.EventLog;
+import org.jackdawslip.internal.time.MonotonicClock;
+
+/**
+ * Keeps what the platform's store says current: reads everything once, then follows the changes.
+ *
+ * <p>While the store does not answer, the last view holds. Listings that are missing when it returns are kept for a
+ * moment, because servers whose listing lapsed meanwhile need time to write it again. Confined to the event loop.
+ */
+final class PlatformView {
+
+    /** Wait of one watch; a shorter one costs more calls, a longer one hides a silent connection for longer. */
+    private static final long WATCH_MILLIS = 10_000;
+    /** Pause between two watches, so that changes which come together cost one call. */
+    private static final long GATHER_MILLIS = 60;
+    /** First and longest pause after a call that failed. */
+    private static final long FIRST_RETRY_MILLIS = 100;
+
+    private static final long LONGEST_RETRY_MILLIS = 600;
+    /** Listings that lapsed during an outage are back about two seconds after it. */
+    private static final long RETURN_MILLIS = 1_900;
+    /** Without an answer for this long the store counts as lost, and listings that are missing later are kept. */
+    private static final long OUTAGE_MILLIS = 1_000;
+
+    private final DurableStore store;
+    private final PlatformAdapter adapter;
+    private final EventLoop loop;
+    private final MonotonicClock clock;
+    private final EventLog log;
+    private final Consumer<PlatformEvent> listener;
+    private final Map<String, Long> revisions = new HashMap<>();
+    private long followedRevision;
+    private boolean synced;
+    private boolean stopped;
+    private boolean lost;
+    private long answeredAt;
+    private long returnedAt = Long.MIN_VALUE / 2;
+    private long retryMillis = FIRST_RETRY_MILLIS;
+
+    PlatformView(Context context, Consumer<PlatformEvent> listener) {
+        this.store = context.store();
+        this.adapter = context.adapter();
+        this.loop = context.loop();
+        this.clock = context.clock();
+        this.log = context.log();
+        this.listener = listener;
+    }
+
+    void start() {
+        answeredAt = clock.millis();
+        readAll();
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    /** Takes the end of any other call to the store, so that an outage is noticed while a watch waits. */
+    void callEnded(DurableStore.Status status) {
+        if (status == DurableStore.Status.UNKNOWN || status == DurableStore.Status.REFUSED) {
+            failed("call", status);
+        } else {
+            succeeded();
+        }
+    }
+
+    /** Returns whether everything was read at least once. */
+    boolean synced() {
+        return synced;
+    }
+
+    /** Returns whether the store does not answer at present. */
+    boolean lost() {
+        return lost;
+    }
+
+    private void readAll() {
+        if (!stopped) {
+            store.readAll(adapter.watchedPrefix(), this::readDone);
+        }
+    }
+
+    private void readDone(DurableStore.Result result) {
+        if (result.status() != DurableStore.Status.DONE) {
+            failed("read", result.status());
+            loop.schedule(this::readAll, retryMillis, TimeUnit.MILLISECONDS);
+            return;
+        }
+        succeeded();
+        Set<String> present = new HashSet<>();
+        for (DurableStore.Item item : result.items()) {
+            present.add(item.key());
+            apply(item);
+        }
+        for (String key : Set.copyOf(revisions.keySet())) {
+            if (!present.contains(key)) {
+                apply(new DurableStore.Item(key, null, result.revision()));
+            }
+        }
+        followedRevision = result.revision();
+        if (!synced) {
+            log.info("platform-synced", "revision", followedRevision, "records", present.size());
+        }
+        synced = true;
+        watch();
+    }
+
+    private void watch() {
+        if (!stopped) {
+            store.watch(adapter.watchedPrefix(), followedRevision, WATCH_MILLIS, this::watchDone);
+        }
+    }
+
+    private void watchDone(DurableStore.Result result) {
+        switch (result.status()) {
+            case DONE -> {
+                succeeded();
+                result.items().forEach(this::apply);
+                followedRevision = Math.max(followedRevision, result.revision());
+                loop.schedule(this::watch, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            case HISTORY_GONE -> {
+                log.info("platform-history-gone", "revision", followedRevision);
+                readAll();
+            }
+            default -> {
+                failed("watch", result.status());
+                loop.schedule(this::watch, retryMillis, TimeUnit.MILLISECONDS);
+            }
+        }
+    }
+
+    private void apply(DurableStore.Item item) {
+        long known = revisions.getOrDefault(item.key(), 0L);
+        if (item.revision() <= known) {
+            return;
+        }
+        if (item.value() != null) {
+            revisions.put(item.key(), item.revision());
+            listener.accept(adapter.decode(item));
+            return;
+        }
+        long wait = returnedAt + RETURN_MILLIS - clock.millis();
+        if (wait > 0 && adapter.decode(item) instanceof PlatformEvent.BackendRemoved) {
+            loop.schedule(() -> removeIfStill(item, known), wait, TimeUnit.MILLISECONDS);
+        } else {
+            revisions.remove(item.key());
+            listener.accept(adapter.decode(item));
+        }
+    }
+
+    private void removeIfStill(DurableStore.Item item, long known) {
+        if (revisions.getOrDefault(item.key(), 0L) == known) {
+            revisions.remove(item.key());
+            listener.accept(adapter.decode(item));
+        }
+    }
+
+    private void failed(String call, DurableStore.Status status) {
+        retryMillis = Math.min(LONGEST_RETRY_MILLIS, 2 * retryMillis);
+        if (!lost) {
+            lost = true;
+            log.warn("store-lost", "call", call, "status", status, "revision", followedRevision);
+        }
+    }
+
+    private void succeeded() {
+        long now = clock.millis();
+        retryMillis = FIRST_RETRY_MILLIS;
+        if (lost) {
+            lost = false;
+            log.info("store-regained", "afterMillis", now - answeredAt);
+            if (now - answeredAt > OUTAGE_MILLIS) {
+                returnedAt = now;
+            }
+        }
+        answeredAt = now;
+    }
+}
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -0,0 +1,573 @@
+package org.jackdawslip.internal.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.jackdawslip.BackendServerId;
+import org.jackdawslip.ErrorCode;
+import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.balance.BackendTracker;
+import org.jackdawslip.internal.balance.LatencyEstimate;
+import org.jackdawslip.internal.balance.LoadReport;
+import org.jackdawslip.internal.balance.RetryBudget;
+import org.jackdawslip.internal.balance.WarmupPacer;
+import org.jackdawslip.internal.keyspace.KeySegment;
+import org.jackdawslip.internal.traffic.HostRoute;
+import org.jackdawslip.internal.traffic.RoutingConfig;
+import org.jackdawslip.internal.traffic.ServiceConfig;
+
+/**
+ * Carries one request from a caller to backend servers and one answer back.
+ *
+ * <p>Invariants: the caller gets at most one answer, and it belongs to this request. A request that may run at most
+ * once is sent again only if nothing was sent or the server stated that it did not run. A refusal with the outcome "not
+ * run" is given only if that holds for every send. Confined to the event loop.
+ */
+final class RequestRun {
+
+    /** Sends that a server refused without running the request, beyond the attempts of the route. */
+    private static final int EXTRA_SENDS = 2;
+    /** Connection failures after which no further server is tried. */
+    private static final int MAX_CONNECT_FAILURES = 4;
+    /** Interval at which a request looks for an owner of its key, in milliseconds. */
+    private static final long OWNER_POLL_MILLIS = 15;
+    /** Longest wait for an owner; a planned move takes about as long as one request. */
+    private static final long OWNER_WAIT_MILLIS = 600;
+    /** Part of the remaining time that a request waits for an owner at most. */
+    private static final double OWNER_WAIT_SHARE = 0.4;
+    /** A second send starts after this multiple of the expected time. */
+    private static final double HEDGE_FACTOR = 2.5;
+    /** A second send starts at the earliest after this share of the target latency. */
+    private static final double HEDGE_TARGET_SHARE = 0.45;
+    /** Pause that a refused caller is asked to make, in milliseconds. */
+    private static final long RETRY_AFTER_MILLIS = 80;
+
+    private static final int STATUS_MISDIRECTED = 421;
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, STATUS_MISDIRECTED, 429, 503);
+
+    private final Services services;
+    private final CallerRequestData request;
+    private final Reply reply;
+    private final String id;
+    private final List<Attempt> open = new ArrayList<>();
+    private final Set<BackendServerId> tried = new HashSet<>();
+    private HostRoute route;
+    private ServiceName service;
+    private ServiceConfig serviceConfig;
+    private long deadlineAt;
+    private int keySlot = -1;
+    private int mayHaveRun;
+    private int refusals;
+    private int connectFailures;
+    private long waitingForOwnerSince = -1;
+    private boolean finished;
+    private boolean offered;
+    private ScheduledFuture<?> deadlineTimer;
+    private ScheduledFuture<?> stepTimer;
+    private ScheduledFuture<?> hedgeTimer;
+
+    RequestRun(Services services, CallerRequestData request, Reply reply) {
+        this.services = services;
+        this.request = request;
+        this.reply = reply;
+        this.id = request.headers().get(services.adapter().headers().requestId(), "");
+    }
+
+    void start() {
+        RoutingConfig config = services.routing().config();
+        if (config == null) {
+            refuse(ErrorCode.NO_BUNDLE, "no configuration is known yet");
+            return;
+        }
+        route = config.route(request.headers().get("host"), request.path()).orElse(null);
+        if (route == null) {
+            refuse(ErrorCode.UNKNOWN_SERVICE, "no route for this host and path");
+            return;
+        }
+        service = services.routing().serviceFor(route);
+        serviceConfig = config.service(service);
+        if (serviceConfig == null) {
+            refuse(ErrorCode.NO_BACKEND_SERVER, "the configuration does not describe the service");
+            return;
+        }
+        Long callerMillis = number(services.adapter().headers().remainingMillis());
+        long limit = callerMillis == null ? route.timeoutMillis() : Math.min(callerMillis, route.timeoutMillis());
+        deadlineAt = request.receivedAt() + limit;
+        if (serviceConfig.keyed()) {
+            Long slot = number(services.adapter().headers().key());
+            if (slot == null || slot < 0 || slot >= KeySegment.SLOTS) {
+                refuse(ErrorCode.INVALID_REQUEST, "a keyed service needs a key slot");
+                return;
+            }
+            keySlot = slot.intValue();
+        }
+        services.routing().budget(service).request(now());
+        deadlineTimer = schedule(this::deadline, deadlineAt - now());
+        next();
+    }
+
+    private Long number(String header) {
+        String text = request.headers().get(header);
+        try {
+            return text == null ? null : (long) Double.parseDouble(text.trim());
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+
+    /** Sends the request to the best server there is, waits for one, or refuses. */
+    private void next() {
+        if (finished) {
+            return;
+        }
+        BackendTracker server = keySlot >= 0 ? owner() : pick();
+        long now = now();
+        if (server == null) {
+            if (keySlot >= 0 && mayWaitForOwner(now)) {
+                stepTimer = schedule(this::next, OWNER_POLL_MILLIS);
+            } else {
+                refuse(keySlot >= 0 ? ErrorCode.NO_OWNER : ErrorCode.NO_BACKEND_SERVER, "no server can take it");
+            }
+            return;
+        }
+        double expected = server.expectedMillis(latency().millis(), now);
+        if (now + expected > deadlineAt && server.busy(now) >= server.backend().slots()) {
+            refuse(ErrorCode.QUEUE_FULL, "expected time " + Math.round(expected) + " ms exceeds the remaining time");
+            return;
+        }
+        send(server, expected);
+    }
+
+    private boolean mayWaitForOwner(long now) {
+        if (waitingForOwnerSince < 0) {
+            waitingForOwnerSince = now;
+        }
+        long limit = Math.min(OWNER_WAIT_MILLIS, (long) (OWNER_WAIT_SHARE * (deadlineAt - waitingForOwnerSince)));
+        return now - waitingForOwnerSince < limit;
+    }
+
+    private BackendTracker owner() {
+        KeySegment segment = services.routing().table(service).find(keySlot);
+        BackendDirectory.Target target =
+                segment == null ? null : services.directory().find(segment.owner());
+        if (target == null
+                || target.backend().startedAtMillis() != segment.ownerStartedAtMillis()
+                || !services.directory().admits(target.backend())) {
+            return null;
+        }
+        long now = now();
+        BackendTracker tracker = target.tracker;
+        return tracker.cold(now) && !tracker.pacer().mayAsk(now) ? null : tracker;
+    }
+
+    private BackendTracker pick() {
+        long now = now();
+        double usual = latency().millis();
+        BackendTracker found = services.balancer()
+                .choose(
+                        services.directory().trackers(service),
+                        server -> !server.paused(now) && takes(server, now),
+                        usual,
+                        route.targetLatencyMillis(),
+                        now);
+        if (found != null) {
+            return found;
+        }
+        return services.balancer()
+                .choose(
+                        services.directory().trackers(service),
+                        server -> takes(server, now),
+                        usual,
+                        route.targetLatencyMillis(),
+                        now);
+    }
+
+    private boolean takes(BackendTracker server, long now) {
+        return services.directory().admits(server.backend())
+                && !tried.contains(server.backend().id())
+                && (!server.cold(now) || warms(server, now));
+    }
+
+    private boolean warms(BackendTracker server, long now) {
+        return server.pacer().mayAsk(now)
+                && WarmupPacer.chosen(
+                        server.backend().id(),
+                        services.peers().self(),
+                        services.routing().instances());
+    }
+
+    private LatencyEstimate latency() {
+        return services.routing().latency(route, service);
+    }
+
+    private void send(BackendTracker server, double expectedMillis) {
+        long now = now();
+        if (server.cold(now)) {
+            int senders = keySlot >= 0 ? services.routing().instances().size() : WarmupPacer.SENDERS;
+            server.pacer().trySend(now, serviceConfig.warmupRequestsPerSecond(), senders);
+        }
+        Attempt attempt = new Attempt(services.directory().target(server), now);
+        tried.add(server.backend().id());
+        open.add(attempt);
+        mayHaveRun++;
+        server.sent();
+        services.peers().inFlightChanged(attempt.target);
+        FullHttpRequest forwarded = request.forward();
+        HeaderNames names = services.adapter().headers();
+        forwarded.headers().set(names.remainingMillis(), Math.max(1, deadlineAt - now));
+        forwarded.headers().set(names.expectedServer(), server.backend().id().value());
+        offered = true;
+        attempt.exchange = attempt.target.pool.send(forwarded, attempt);
+        if (attempt.open && keySlot < 0 && route.kind().repeatable() && hedgeTimer == null) {
+            double delay = Math.max(HEDGE_FACTOR * expectedMillis, HEDGE_TARGET_SHARE * route.targetLatencyMillis());
+            hedgeTimer = schedule(this::hedge, Math.round(delay));
+        }
+    }
+
+    /** Sends the request to a second server because the first takes unusually long. */
+    private void hedge() {
+        if (finished || open.isEmpty() || mayHaveRun >= route.maxAttempts()) {
+            return;
+        }
+        BackendTracker server = pick();
+        long now = now();
+        if (server == null || server.busy(now) >= server.backend().slots()) {
+            return;
+        }
+        double expected = server.expectedMillis(latency().millis(), now);
+        if (now + expected < deadlineAt && tryRetry()) {
+            services.metrics().count("hedge", service.value());
+            send(server, expected);
+        }
+    }
+
+    private boolean tryRetry() {
+        RetryBudget budget = services.routing().budget(service);
+        boolean allowed = budget.tryRetry(now(), services.routing().instances().size());
+        if (!allowed) {
+            services.metrics().count("retry-budget-empty", service.value());
+        }
+        return allowed;
+    }
+
+    private void retry(String cause, Attempt failed) {
+        services.log()
+                .info(
+                        "request-sent-again",
+                        "request",
+                        id,
+                        "route",
+                        route.name(),
+                        "service",
+                        service,
+                        "backend",
+                        failed.target.backend().id(),
+                        "cause",
+                        cause,
+                        "afterMillis",
+                        now() - failed.sentAt,
+                        "budgetLeft",
+                        Math.round(services.routing()
+                                .budget(service)
+                                .remaining(now(), services.routing().instances().size())));
+        services.metrics().count("retry", cause);
+        next();
+    }
+
+    private boolean attemptsLeft() {
+        return mayHaveRun < route.maxAttempts() && refusals < EXTRA_SENDS && now() < deadlineAt;
+    }
+
+    private void refusedByServer(Attempt attempt, int status) {
+        mayHaveRun--;
+        refusals++;
+        boolean misdirected = status == STATUS_MISDIRECTED;
+        if (keySlot >= 0) {
+            tried.remove(attempt.target.backend().id());
+        }
+        if (!open.isEmpty()) {
+            return;
+        }
+        if (attemptsLeft() && tryRetry()) {
+            if (keySlot >= 0 && misdirected) {
+                stepTimer = schedule(() -> retry("not the owner", attempt), OWNER_POLL_MILLIS);
+            } else if (keySlot >= 0) {
+                refuse(ErrorCode.BACKEND_REFUSED, "the owner of the key is full");
+            } else {
+                retry(misdirected ? "another server has the address" : "server full", attempt);
+            }
+        } else {
+            refuse(ErrorCode.BACKEND_REFUSED, "the backend server did not run it, status " + status);
+        }
+    }
+
+    private void lost(Attempt attempt, ExchangeFailure failure) {
+        if (!failure.mayHaveRun()) {
+            mayHaveRun--;
+            connectFailures++;
+            if (keySlot >= 0) {
+                tried.remove(attempt.target.backend().id());
+            }
+            if (!open.isEmpty()) {
+                return;
+            }
+            if (connectFailures < MAX_CONNECT_FAILURES && keySlot < 0) {
+                retry(failure.name().toLowerCase(Locale.ROOT), attempt);
+            } else {
+                refuse(
+                        ErrorCode.NO_BACKEND_SERVER,
+                        "backend server " + attempt.target.backend().id() + ": " + failure);
+            }
+            return;
+        }
+        if (!open.isEmpty()) {
+            return;
+        }
+        if (keySlot >= 0) {
+            tried.remove(attempt.target.backend().id());
+        }
+        if (route.kind().repeatable() && attemptsLeft() && tryRetry()) {
+            retry(failure.name().toLowerCase(Locale.ROOT), attempt);
+        } else {
+            fail(502, "backend server " + attempt.target.backend().id() + ": " + failure);
+        }
+    }
+
+    private void serverFailed(Attempt attempt, FullHttpResponse answer) {
+        boolean again = open.isEmpty() && route.kind().repeatable() && attemptsLeft();
+        if (!open.isEmpty()) {
+            return;
+        }
+        if (again && tryRetry()) {
+            retry("status " + answer.status().code(), attempt);
+        } else if (NOT_RUN_STATUSES.contains(answer.status().code())) {
+            fail(502, "the backend server answered " + answer.status().code() + " without stating that it did not run");
+        } else {
+            pass(attempt, answer);
+        }
+    }
+
+    private void pass(Attempt attempt, FullHttpResponse answer) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        CallerRequestData.copyEndToEnd(answer.headers(), headers);
+        byte[] body = ByteBufUtil.getBytes(answer.content());
+        finish();
+        services.metrics()
+                .answered(route, now() - request.receivedAt(), answer.status().code());
+        reply.answer(answer.status().code(), headers, body);
+    }
+
+    private void deadline() {
+        if (finished) {
+            return;
+        }
+        if (mayHaveRun == 0) {
+            refuse(offered ? ErrorCode.BACKEND_REFUSED : ErrorCode.DEADLINE_EXCEEDED, "time ran out before it ran");
+        } else {
+            fail(504, "no answer within the time limit");
+        }
+    }
+
+    /** Answers that the request may have run. */
+    private void fail(int status, String reason) {
+        finishWith(status, ErrorCode.OUTCOME_UNKNOWN, reason);
+    }
+
+    /** Answers that the request did not run. */
+    private void refuse(ErrorCode code, String reason) {
+        finishWith(code == ErrorCode.DEADLINE_EXCEEDED ? 503 : code.httpStatus(), code, reason);
+    }
+
+    private void finishWith(int status, ErrorCode code, String reason) {
+        finish();
+        services.log()
+                .info(
+                        "request-failed",
+                        "request",
+                        id,
+                        "route",
+                        route == null ? null : route.name(),
+                        "service",
+                        service,
+                        "status",
+                        status,
+                        "code",
+                        code,
+                        "reason",
+                        reason,
+                        "outcome",
+                        code.outcome().text(),
+                        "key",
+                        keySlot < 0 ? null : keySlot,
+                        "sends",
+                        tried.size(),
+                        "afterMillis",
+                        now() - request.receivedAt());
+        services.metrics().refused(code);
+        if (route != null) {
+            services.metrics().answered(route, now() - request.receivedAt(), status);
+        }
+        HttpHeaders headers = new DefaultHttpHeaders();
+        if (!id.isEmpty()) {
+            headers.set(services.adapter().headers().requestId(), id);
+        }
+        if (status == 503) {
+            headers.set("Retry-After", String.format(Locale.ROOT, "%.3f", RETRY_AFTER_MILLIS / 1_000.0));
+        }
+        headers.set("Content-Type", "text/plain");
+        reply.answer(status, headers, (code + ": " + reason + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** The caller has left: the work of idempotent requests ends. */
+    void callerLeft() {
+        if (!finished) {
+            services.log().info("request-caller-left", "request", id, "afterMillis", now() - request.receivedAt());
+            if (route == null || route.kind().repeatable()) {
+                finish();
+            } else {
+                // The work may have been done; ending it would leave its outcome unknown to the server's log as well.
+                finished = true;
+                cancelTimers();
+            }
+        }
+    }
+
+    private void finish() {
+        finished = true;
+        cancelTimers();
+        for (Attempt attempt : List.copyOf(open)) {
+            attempt.giveUp();
+        }
+    }
+
+    private void cancelTimers() {
+        cancel(deadlineTimer);
+        cancel(stepTimer);
+        cancel(hedgeTimer);
+    }
+
+    private static void cancel(ScheduledFuture<?> timer) {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    private ScheduledFuture<?> schedule(Runnable action, long millis) {
+        return services.loop().schedule(action, Math.max(0, millis), TimeUnit.MILLISECONDS);
+    }
+
+    private long now() {
+        return services.clock().millis();
+    }
+
+    /** One send of the request to one backend server. */
+    private final class Attempt implements ExchangeListener {
+        private final BackendDirectory.Target target;
+        private final long sentAt;
+        private ConnectionPool.Exchange exchange;
+        private boolean open = true;
+
+        Attempt(BackendDirectory.Target target, long sentAt) {
+            this.target = target;
+            this.sentAt = sentAt;
+        }
+
+        void giveUp() {
+            end();
+            target.tracker.abandoned();
+            exchange.giveUp();
+        }
+
+        private void end() {
+            open = false;
+            RequestRun.this.open.remove(this);
+            services.peers().inFlightChanged(target);
+        }
+
+        @Override
+        public boolean answered(FullHttpResponse answer) {
+            HeaderNames names = services.adapter().headers();
+            String echoed = answer.headers().get(names.requestId());
+            if (echoed != null && !echoed.equals(id)) {
+                services.log()
+                        .warn(
+                                "answer-of-other-request",
+                                "request",
+                                id,
+                                "backend",
+                                target.backend().id(),
+                                "got",
+                                echoed);
+                return false;
+            }
+            end();
+            LoadReport load = services.adapter().load(answer.headers());
+            if (load != null) {
+                target.tracker.report(load, now(), 0);
+                services.peers().loadReported(target, load);
+            }
+            int status = answer.status().code();
+            if (answer.headers().contains(names.notExecuted()) || status == STATUS_MISDIRECTED) {
+                target.tracker.refused();
+                if (status == STATUS_MISDIRECTED && keySlot < 0) {
+                    target.tracker.unreachable(now());
+                }
+                if (!finished) {
+                    refusedByServer(this, status);
+                }
+                return true;
+            }
+            boolean success = status < 500;
+            long elapsed = now() - sentAt;
+            target.tracker.answered(elapsed, latency().millis(), success);
+            if (status < 300 && !answer.headers().contains(names.signature())) {
+                if (!finished) {
+                    lost(this, ExchangeFailure.MALFORMED_ANSWER);
+                }
+                return true;
+            }
+            if (success) {
+                latency().sample(elapsed);
+                if (keySlot >= 0) {
+                    services.peers().keyUsed(service, keySlot, elapsed);
+                }
+            }
+            if (finished) {
+                return true;
+            }
+            if (success) {
+                pass(this, answer);
+            } else {
+                serverFailed(this, answer);
+            }
+            return true;
+        }
+
+        @Override
+        public void failed(ExchangeFailure failure) {
+            end();
+            if (failure.mayHaveRun()) {
+                target.tracker.failed();
+            } else {
+                target.tracker.abandoned();
+                if (failure == ExchangeFailure.NOT_CONNECTED) {
+                    target.tracker.unreachable(now());
+                }
+            }
+            if (!finished) {
+                lost(this, failure);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
@@ -0,0 +1,112 @@
+package org.jackdawslip.internal.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.jackdawslip.InstanceId;
+import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.balance.LatencyEstimate;
+import org.jackdawslip.internal.balance.RetryBudget;
+import org.jackdawslip.internal.keyspace.KeyTable;
+import org.jackdawslip.internal.logging.EventLog;
+import org.jackdawslip.internal.traffic.HostRoute;
+import org.jackdawslip.internal.traffic.RoutingConfig;
+import org.jackdawslip.internal.traffic.TrafficSplitter;
+
+/**
+ * What decides where a request goes: the configuration in force, the owners of keys, the live instances, and the
+ * budgets and running means that follow from requests.
+ *
+ * <p>Invariant: the version of the configuration never falls, nor does the revision of an owner table. Confined to the
+ * event loop.
+ */
+final class RoutingState {
+
+    /** Part of the shared retry bound that is used; counts of different instances do not cover the same window. */
+    private static final double BUDGET_SHARE = 0.8;
+    /** Share of the target latency that an answer is assumed to take before the first was seen. */
+    private static final double ASSUMED_SHARE = 0.33;
+
+    private final GatewaySettings settings;
+    private final EventLog log;
+    private final TrafficSplitter splitter;
+    private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
+    private final Map<String, LatencyEstimate> latencies = new HashMap<>();
+    private final Map<ServiceName, KeyTable> tables = new HashMap<>();
+    private final Map<ServiceName, Long> tableRevisions = new HashMap<>();
+    private Set<InstanceId> instances;
+    private RoutingConfig config;
+
+    RoutingState(GatewaySettings settings, EventLog log, Random random) {
+        this.settings = settings;
+        this.log = log;
+        this.splitter = new TrafficSplitter(random);
+        this.instances = Set.of(settings.instance());
+    }
+
+    /** Returns the configuration in force, or null before the first is known. */
+    RoutingConfig config() {
+        return config;
+    }
+
+    /** Puts a configuration in force if it is newer. */
+    boolean offer(RoutingConfig newer) {
+        if (config != null && newer.version() <= config.version()) {
+            if (newer.version() < config.version()) {
+                log.warn("config-older", "version", newer.version(), "inForce", config.version());
+            }
+            return false;
+        }
+        config = newer;
+        log.info("config-in-force", "version", newer.version());
+        return true;
+    }
+
+    ServiceName serviceFor(HostRoute route) {
+        return splitter.next(route);
+    }
+
+    RetryBudget budget(ServiceName service) {
+        return budgets.computeIfAbsent(
+                service,
+                name -> new RetryBudget(
+                        BUDGET_SHARE * settings.bounds().retryRatio(),
+                        BUDGET_SHARE * settings.bounds().retryAllowance(),
+                        settings.bounds().retryWindowMillis()));
+    }
+
+    LatencyEstimate latency(HostRoute route, ServiceName service) {
+        return latencies.computeIfAbsent(
+                route.name() + ' ' + service, name -> new LatencyEstimate(ASSUMED_SHARE * route.targetLatencyMillis()));
+    }
+
+    KeyTable table(ServiceName service) {
+        return tables.getOrDefault(service, KeyTable.empty());
+    }
+
+    long tableRevision(ServiceName service) {
+        return tableRevisions.getOrDefault(service, 0L);
+    }
+
+    void table(ServiceName service, KeyTable table, long revision) {
+        if (revision > tableRevision(service)) {
+            tables.put(service, table);
+            tableRevisions.put(service, revision);
+        }
+    }
+
+    /** Returns the live instances, this one included. */
+    Set<InstanceId> instances() {
+        return instances;
+    }
+
+    void instances(List<InstanceId> peers) {
+        Set<InstanceId> live = new TreeSet<>(peers);
+        live.add(settings.instance());
+        instances = Set.copyOf(live);
+    }
+}
