Name the server in orders about keys and read anew after a watch that missed changes

Orders now carry the id of the server, which refuses them otherwise, and a server that did not answer a grant is granted nothing for two heartbeats, in which its restart is listed.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
@@ -259,7 +259,7 @@
                 part.phase = Phase.RELEASING;
                 part.nextCallAt = now;
             }
-            case UNKNOWN -> part.nextCallAt = now + timing.retryMillis();
+            case UNKNOWN -> part.nextCallAt = now + timing.regrantMillis();
             default -> throw new IllegalStateException("grant result " + result);
         }
     }
@@ -279,7 +279,7 @@
         if (confirmed) {
             free(part, handover);
         } else {
-            part.nextCallAt = now + timing.retryMillis();
+            part.nextCallAt = now + timing.rereleaseMillis();
         }
     }
 
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyTiming.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyTiming.java
@@ -5,9 +5,10 @@
  *
  * @param holdMillis term of a grant, by the clock of the server
  * @param renewMillis interval between renewals of a grant
- * @param retryMillis pause after a call without an answer
+ * @param regrantMillis pause after a grant without an answer; the server may have restarted, and is listed anew by then
+ * @param rereleaseMillis pause after a release without an answer
  */
-public record KeyTiming(long holdMillis, long renewMillis, long retryMillis) {
+public record KeyTiming(long holdMillis, long renewMillis, long regrantMillis, long rereleaseMillis) {
 
     /** A server's clock may run 2 % slow; the platform states this bound. */
     private static final double SLOWEST_CLOCK = 1.02;
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
@@ -19,7 +19,7 @@
  */
 final class FakeOwners implements KeyOrders {
 
-    static final KeyTiming TIMING = new KeyTiming(7_000, 1_500, 300);
+    static final KeyTiming TIMING = new KeyTiming(7_000, 1_500, 1_700, 300);
 
     /** What one server holds: first slot of a grant to the grant. */
     private static final class Server {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ControlCalls.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ControlCalls.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.jackdawslip.internal.balance.Backend;
 
@@ -21,15 +22,21 @@
     static final int LANES = 4;
 
     private final HttpCaller caller;
+    private final String expectedServerHeader;
     private final BooleanSupplier permitted;
     private final Map<String, Lane> lanes = new HashMap<>();
 
-    ControlCalls(HttpCaller caller, BooleanSupplier permitted) {
+    ControlCalls(HttpCaller caller, String expectedServerHeader, BooleanSupplier permitted) {
         this.caller = caller;
+        this.expectedServerHeader = expectedServerHeader;
         this.permitted = permitted;
     }
 
-    private record Order(PlatformAdapter.ControlCall call, long timeoutMillis, Consumer<HttpCaller.Answer> whenDone) {}
+    private record Order(
+            Backend server,
+            PlatformAdapter.ControlCall call,
+            long timeoutMillis,
+            Consumer<HttpCaller.Answer> whenDone) {}
 
     private static final class Lane {
         final Deque<Order> waiting = new ArrayDeque<>();
@@ -42,7 +49,7 @@
             long timeoutMillis,
             Consumer<HttpCaller.Answer> whenDone) {
         Lane lane = lanes.computeIfAbsent(server.address(), address -> new Lane());
-        lane.waiting.addLast(new Order(call, timeoutMillis, whenDone));
+        lane.waiting.addLast(new Order(server, call, timeoutMillis, whenDone));
         next(server.address(), lane);
     }
 
@@ -59,6 +66,9 @@
                     HttpMethod.POST,
                     order.call().uri(),
                     order.call().body(),
+                    // The address may belong to another server by now, which must not take the keys.
+                    new DefaultHttpHeaders()
+                            .set(expectedServerHeader, order.server().id().value()),
                     order.timeoutMillis(),
                     answer -> {
                         lane.underWay--;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
@@ -66,7 +66,21 @@
      */
     public void call(
             String address, HttpMethod method, String uri, String body, long timeoutMillis, Consumer<Answer> whenDone) {
-        new Call(address, whenDone).start(request(address, method, uri, body), timeoutMillis);
+        call(address, method, uri, body, EmptyHttpHeaders.INSTANCE, timeoutMillis, whenDone);
+    }
+
+    /** Makes one call with further headers. */
+    void call(
+            String address,
+            HttpMethod method,
+            String uri,
+            String body,
+            HttpHeaders headers,
+            long timeoutMillis,
+            Consumer<Answer> whenDone) {
+        FullHttpRequest request = request(address, method, uri, body);
+        request.headers().add(headers);
+        new Call(address, whenDone).start(request, timeoutMillis);
     }
 
     private static FullHttpRequest request(String address, HttpMethod method, String uri, String body) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
@@ -112,7 +112,7 @@
         this.directory = directory;
         this.view = view;
         this.guard = guard;
-        this.calls = new ControlCalls(caller, () -> leading && guard.valid());
+        this.calls = new ControlCalls(caller, adapter.headers().expectedServer(), () -> leading && guard.valid());
         this.random = random;
     }
 
@@ -344,7 +344,9 @@
 
         private KeyTiming timing() {
             long hold = Math.min(HOLD_MILLIS, bounds.longestHoldMillis());
-            return new KeyTiming(hold, Math.min(GRANT_RENEW_MILLIS, hold / 4), ORDER_RETRY_MILLIS);
+            // A server that restarts under its id must be listed anew before it is granted anything again.
+            long regrant = Math.max(ORDER_RETRY_MILLIS, 2 * bounds.heartbeatMillis());
+            return new KeyTiming(hold, Math.min(GRANT_RENEW_MILLIS, hold / 4), regrant, ORDER_RETRY_MILLIS);
         }
 
         private KeyLoads serviceLoads() {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformAdapter.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformAdapter.java
@@ -28,10 +28,10 @@
     /** Decodes the load header of an answer; null if there is none or it is not valid. */
     LoadReport load(HttpHeaders headers);
 
-    /** Encodes the order to grant a segment. */
+    /** Encodes the order to grant a segment to its owner. */
     ControlCall grant(KeySegment segment, long holdMillis, String handover);
 
-    /** Encodes the order to release a segment. */
+    /** Encodes the order that the owner of a segment gives it up. */
     ControlCall release(KeySegment segment);
 
     /**
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -125,6 +125,12 @@
         switch (result.status()) {
             case DONE -> {
                 succeeded();
+                if (result.items().isEmpty() && result.revision() > followedRevision) {
+                    // Every change lies below the watched prefix, so the watch missed what moved the revision.
+                    log.warn("watch-missed-changes", "from", followedRevision, "to", result.revision());
+                    readAll();
+                    return;
+                }
                 result.items().forEach(this::apply);
                 followedRevision = Math.max(followedRevision, result.revision());
                 loop.schedule(this::watch, GATHER_MILLIS, TimeUnit.MILLISECONDS);
@@ -147,7 +153,7 @@
         }
         if (item.value() != null) {
             revisions.put(item.key(), item.revision());
-            listener.accept(adapter.decode(item));
+            tell(item);
             return;
         }
         long wait = returnedAt + RETURN_MILLIS - clock.millis();
@@ -155,14 +161,23 @@
             loop.schedule(() -> removeIfStill(item, known), wait, TimeUnit.MILLISECONDS);
         } else {
             revisions.remove(item.key());
+            tell(item);
+        }
+    }
+
+    /** Hands a record to the listener. A fault there must not end the following of changes. */
+    private void tell(DurableStore.Item item) {
+        try {
             listener.accept(adapter.decode(item));
+        } catch (RuntimeException e) {
+            log.warn("internal-fault", "task", "record " + item.key(), "problem", e, "at", e.getStackTrace()[0]);
         }
     }
 
     private void removeIfStill(DurableStore.Item item, long known) {
         if (revisions.getOrDefault(item.key(), 0L) == known) {
             revisions.remove(item.key());
-            listener.accept(adapter.decode(item));
+            tell(item);
         }
     }
 
