Measure the load of keys by demand and the speed of servers without queueing

Cause: load of key slots was the time that answers took, which counts waiting at an overloaded owner twice and refused requests not at all, and the speed of a server fell with its queue. Load now counts requests as they arrive; speed samples come only from requests that found a free slot, at the usual pace of the machine, and peers share them. A request that an owner denied waits for a new owner instead of going back at once. Moves start at 1.4 times the fair load.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
@@ -17,7 +17,7 @@
     /** Age after which the queue of a load report says nothing, in milliseconds. */
     private static final double QUEUE_HALF_LIFE_MILLIS = 100;
     /** Weight of the newest service time in the running mean. */
-    private static final double SPEED_WEIGHT = 0.12;
+    private static final double SPEED_WEIGHT = 0.07;
     /** Weight of the newest outcome in the failure rate. */
     private static final double FAILURE_WEIGHT = 0.15;
     /** Bounds of the relative service time, so that a few odd requests do not exclude a server. */
@@ -90,21 +90,22 @@
         inFlight--;
     }
 
-    /**
-     * Counts an answer of a request that ran.
-     *
-     * @param elapsedMillis time from the send to the answer
-     * @param expectedMillis time that the route usually takes
-     * @param success whether the server answered with success
-     */
-    public void answered(double elapsedMillis, double expectedMillis, boolean success) {
+    /** Counts an answer of a request that ran. */
+    public void answered(boolean success) {
         inFlight--;
         pauseMillis = 0;
         failureRate += FAILURE_WEIGHT * ((success ? 0 : 1) - failureRate);
-        if (success && expectedMillis > 0) {
-            double newest = Math.max(MIN_RATIO, Math.min(MAX_RATIO, elapsedMillis / expectedMillis));
-            ratio += SPEED_WEIGHT * (newest - ratio);
-        }
+    }
+
+    /**
+     * Takes the relative service time of one request, seen here or by a peer. Requests that waited at the server
+     * say nothing about its speed and are left out.
+     *
+     * @param relative time at the usual pace of the machine, divided by the usual time of the route
+     */
+    public void speedSample(double relative) {
+        double newest = Math.max(MIN_RATIO, Math.min(MAX_RATIO, relative));
+        ratio += SPEED_WEIGHT * (newest - ratio);
     }
 
     /** Counts an answer that says that the request did not run. */
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyLoads.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyLoads.java
@@ -8,7 +8,7 @@
 public final class KeyLoads {
 
     /** Slots in one block: the resolution at which load is known and segments are cut. */
-    public static final int BLOCK = 16;
+    public static final int BLOCK = 4;
     /** Number of blocks. */
     public static final int BLOCKS = KeySegment.SLOTS / BLOCK;
     /** Time in which a count falls to half, in milliseconds; hot keys change within seconds. */
@@ -41,7 +41,7 @@
         if (decayedAt == Long.MIN_VALUE) {
             decayedAt = now;
         }
-        // Steps of 200 ms keep the cost low; 4096 blocks are touched at most five times a second.
+        // Steps of 200 ms keep the cost low: the blocks are touched at most five times a second.
         if (now - decayedAt >= 200) {
             double factor = Math.pow(0.5, (now - decayedAt) / HALF_LIFE_MILLIS);
             for (int i = 0; i < loads.length; i++) {
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyRebalancer.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyRebalancer.java
@@ -14,8 +14,8 @@
  */
 public final class KeyRebalancer {
 
-    /** An owner with more than this multiple of its fair load is relieved. */
-    private static final double OVERLOADED = 1.25;
+    /** An owner with more than this multiple of its fair load is relieved; counts of a few seconds vary by a fifth. */
+    private static final double OVERLOADED = 1.4;
     /** Moves planned at once; a round follows every second or so. */
     private static final int MOVES_PER_ROUND = 6;
     /** Segments an owner may have on average before splits stop; each segment costs a renewal. */
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
@@ -46,8 +46,8 @@
     private static final long TICK_MILLIS = 40;
     /** Interval between two rounds of moves. */
     private static final long REBALANCE_MILLIS = 1_000;
-    /** Work in milliseconds that has to be known before keys are moved because of load. */
-    private static final double MIN_KNOWN_WORK = 2_000;
+    /** Requests for each owner that have to be known before keys are moved because of load. */
+    private static final double MIN_KNOWN_REQUESTS = 4;
     /** Spread of the attempts of the instances to get a free role. */
     private static final int CLAIM_SPREAD_MILLIS = 250;
     /** Pause after a failed attempt. */
@@ -150,9 +150,10 @@
         return true;
     }
 
-    void keyUsed(ServiceName service, int slot, double work) {
+    /** Counts one request for a key. Refused requests count as well, because they are the load that found no room. */
+    void keyUsed(ServiceName service, int slot) {
         if (leading) {
-            loads.computeIfAbsent(service, name -> new KeyLoads()).add(slot, work, clock.millis());
+            loads.computeIfAbsent(service, name -> new KeyLoads()).add(slot, 1, clock.millis());
         }
     }
 
@@ -373,10 +374,11 @@
         }
 
         private void rebalance(long now) {
-            if (custodian == null || serviceLoads().total() < MIN_KNOWN_WORK) {
+            Map<BackendServerId, Double> capacities = capacities();
+            if (custodian == null || serviceLoads().total() < MIN_KNOWN_REQUESTS * capacities.size()) {
                 return;
             }
-            List<KeyMove> moves = KeyRebalancer.plan(custodian.ownedSegments(), capacities(), serviceLoads());
+            List<KeyMove> moves = KeyRebalancer.plan(custodian.ownedSegments(), capacities, serviceLoads());
             if (!moves.isEmpty()) {
                 log.info("keys-rebalanced", "service", service, "moves", moves.size(), "first", moves.get(0));
                 custodian.move(moves, now);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -54,6 +54,9 @@
     /** Most entries in one datagram; 40 bytes each stay below the usual frame size. */
     private static final int MAX_ENTRIES = 30;
 
+    /** Relative service times travel as whole percents. */
+    private static final double SPEED_SCALE = 100;
+
     private static final int FIELD_SENDER = 1;
     private static final int FIELD_SERVER = 2;
     private static final int FIELD_KEY = 3;
@@ -63,13 +66,13 @@
     private static final int ENTRY_WAITING = 4;
     private static final int ENTRY_SLOTS = 5;
     private static final int ENTRY_PACE = 6;
+    private static final int ENTRY_SPEED = 7;
     private static final int KEY_SERVICE = 1;
     private static final int KEY_SLOT = 2;
-    private static final int KEY_WORK = 3;
 
     /** Hears of used keys at the custodian. */
     interface KeyListener {
-        void keyUsed(ServiceName service, int slot, double work);
+        void keyUsed(ServiceName service, int slot);
     }
 
     private final Context context;
@@ -83,12 +86,13 @@
     private final Map<InstanceId, Long> heardAt = new HashMap<>();
     private final Set<BackendDirectory.Target> changed = new HashSet<>();
     private final Map<BackendDirectory.Target, LoadReport> reports = new HashMap<>();
+    private final Map<BackendDirectory.Target, Integer> speeds = new HashMap<>();
     private final List<KeyUse> keyUses = new ArrayList<>();
     private InstanceId custodian;
     private boolean flushScheduled;
     private Channel channel;
 
-    private record KeyUse(ServiceName service, int slot, long work) {}
+    private record KeyUse(ServiceName service, int slot) {}
 
     PeerExchange(Context context, BackendDirectory directory, KeyListener keyListener) {
         this.context = context;
@@ -151,11 +155,18 @@
         inFlightChanged(target);
     }
 
-    void keyUsed(ServiceName service, int slot, long workMillis) {
+    /** Takes the relative service time of a request, which the peers learn as well. */
+    void speedSample(BackendDirectory.Target target, double relative) {
+        target.tracker.speedSample(relative);
+        speeds.put(target, (int) Math.round(relative * SPEED_SCALE));
+        inFlightChanged(target);
+    }
+
+    void keyUsed(ServiceName service, int slot) {
         if (self.equals(custodian)) {
-            keyListener.keyUsed(service, slot, workMillis);
+            keyListener.keyUsed(service, slot);
         } else if (custodian != null) {
-            keyUses.add(new KeyUse(service, slot, workMillis));
+            keyUses.add(new KeyUse(service, slot));
         }
     }
 
@@ -164,6 +175,7 @@
         send(List.copyOf(changed));
         changed.clear();
         reports.clear();
+        speeds.clear();
     }
 
     private void repeat() {
@@ -204,6 +216,10 @@
             entry.writeInt32(ENTRY_SLOTS, report.slots());
             entry.writeInt32(ENTRY_PACE, report.pacePercent());
         }
+        Integer speed = speeds.get(target);
+        if (speed != null) {
+            entry.writeInt32(ENTRY_SPEED, speed);
+        }
     }
 
     private void sendKeys() {
@@ -224,7 +240,6 @@
     private static void writeKey(CodedOutputStream entry, KeyUse use) throws IOException {
         entry.writeString(KEY_SERVICE, use.service().value());
         entry.writeInt32(KEY_SLOT, use.slot());
-        entry.writeInt64(KEY_WORK, use.work());
     }
 
     private interface Content {
@@ -282,12 +297,12 @@
 
         private void readServer(InstanceId sender, CodedInputStream input) throws IOException {
             String id = "";
-            int[] numbers = new int[ENTRY_PACE + 1];
+            int[] numbers = new int[ENTRY_SPEED + 1];
             for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
                 int field = WireFormat.getTagFieldNumber(tag);
                 if (field == ENTRY_ID) {
                     id = input.readString();
-                } else if (field <= ENTRY_PACE) {
+                } else if (field <= ENTRY_SPEED) {
                     numbers[field] = input.readInt32();
                 } else {
                     input.skipField(tag);
@@ -303,21 +318,22 @@
                         numbers[ENTRY_RUNNING], numbers[ENTRY_WAITING], numbers[ENTRY_SLOTS], numbers[ENTRY_PACE]);
                 target.tracker.report(report, clock.millis(), BATCH_MILLIS);
             }
+            if (numbers[ENTRY_SPEED] > 0) {
+                target.tracker.speedSample(numbers[ENTRY_SPEED] / SPEED_SCALE);
+            }
         }
 
         private void readKey(CodedInputStream input) throws IOException {
             String service = "";
             int slot = 0;
-            long work = 0;
             for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
                 switch (WireFormat.getTagFieldNumber(tag)) {
                     case KEY_SERVICE -> service = input.readString();
                     case KEY_SLOT -> slot = input.readInt32();
-                    case KEY_WORK -> work = input.readInt64();
                     default -> input.skipField(tag);
                 }
             }
-            keyListener.keyUsed(new ServiceName(service), slot & 0xFFFF, work);
+            keyListener.keyUsed(new ServiceName(service), slot & 0xFFFF);
         }
     }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -53,6 +53,13 @@
     /** Pause that a refused caller is asked to make, in milliseconds. */
     private static final long RETRY_AFTER_MILLIS = 80;
 
+    /** The pace of a machine without busy neighbours, in percent. */
+    private static final double USUAL_PACE = 100;
+    /** Time after which a request goes again to an owner that denied to be it; its grant may have been on the way. */
+    private static final long SAME_OWNER_MILLIS = 60;
+    /** Sends to owners that denied to be it. */
+    private static final int MAX_DENIALS = 4;
+
     private static final int STATUS_MISDIRECTED = 421;
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, STATUS_MISDIRECTED, 429, 503);
 
@@ -71,6 +78,9 @@
     private int refusals;
     private int connectFailures;
     private long waitingForOwnerSince = -1;
+    private KeySegment lastSegment;
+    private KeySegment deniedSegment;
+    private long deniedAt;
     private boolean finished;
     private boolean offered;
     private ScheduledFuture<?> deadlineTimer;
@@ -111,6 +121,7 @@
                 return;
             }
             keySlot = slot.intValue();
+            services.peers().keyUsed(service, keySlot);
         }
         services.routing().budget(service).request(now());
         deadlineTimer = schedule(this::deadline, deadlineAt - now());
@@ -167,6 +178,10 @@
             return null;
         }
         long now = now();
+        if (segment.equals(deniedSegment) && now < deniedAt + SAME_OWNER_MILLIS) {
+            return null;
+        }
+        lastSegment = segment;
         BackendTracker tracker = target.tracker;
         return tracker.cold(now) && !tracker.pacer().mayAsk(now) ? null : tracker;
     }
@@ -299,10 +314,12 @@
         if (!open.isEmpty()) {
             return;
         }
-        if (attemptsLeft() && tryRetry()) {
-            if (keySlot >= 0 && misdirected) {
-                stepTimer = schedule(() -> retry("not the owner", attempt), OWNER_POLL_MILLIS);
-            } else if (keySlot >= 0) {
+        if (keySlot >= 0 && misdirected && refusals < MAX_DENIALS && tryRetry()) {
+            deniedSegment = lastSegment;
+            deniedAt = now();
+            retry("not the owner", attempt);
+        } else if (attemptsLeft() && tryRetry()) {
+            if (keySlot >= 0) {
                 refuse(ErrorCode.BACKEND_REFUSED, "the owner of the key is full");
             } else {
                 retry(misdirected ? "another server has the address" : "server full", attempt);
@@ -475,12 +492,16 @@
     private final class Attempt implements ExchangeListener {
         private final BackendDirectory.Target target;
         private final long sentAt;
+        /** Whether all slots of the server seemed taken when the request was sent. */
+        private final boolean queued;
+
         private ConnectionPool.Exchange exchange;
         private boolean open = true;
 
         Attempt(BackendDirectory.Target target, long sentAt) {
             this.target = target;
             this.sentAt = sentAt;
+            this.queued = target.tracker.busy(sentAt) >= target.backend().slots();
         }
 
         void giveUp() {
@@ -529,19 +550,18 @@
                 return true;
             }
             boolean success = status < 500;
-            long elapsed = now() - sentAt;
-            target.tracker.answered(elapsed, latency().millis(), success);
+            target.tracker.answered(success);
             if (status < 300 && !answer.headers().contains(names.signature())) {
                 if (!finished) {
                     lost(this, ExchangeFailure.MALFORMED_ANSWER);
                 }
                 return true;
             }
-            if (success) {
-                latency().sample(elapsed);
-                if (keySlot >= 0) {
-                    services.peers().keyUsed(service, keySlot, elapsed);
-                }
+            if (success && !queued) {
+                double pace = load == null ? 1 : Math.max(1, load.pacePercent()) / USUAL_PACE;
+                double millis = (now() - sentAt) / pace;
+                services.peers().speedSample(target, millis / latency().millis());
+                latency().sample(millis);
             }
             if (finished) {
                 return true;
