--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
@@ -54,6 +54,7 @@
         long heldUntil;
         long nextCallAt;
         boolean calling;
+        boolean confirmed;
         String handover;
         BackendServerId target;
 
@@ -139,6 +140,7 @@
             free(part, null);
         } else if (!part.calling && now >= part.nextCallAt && owner != null) {
             part.calling = true;
+            orders.announce(part.segment, false);
             orders.release(owner, part.segment);
         }
     }
@@ -175,6 +177,7 @@
             BackendServerId owner = targetUsable ? part.target : leastLoaded(owned, capacities);
             owned.merge(owner, weight(part, loads), Double::sum);
             part.phase = Phase.SAVING;
+            part.confirmed = false;
             part.target = null;
             part.segment = new KeySegment(
                     part.first, part.last, owner, lastListed.get(owner).startedAtMillis(), token);
@@ -251,6 +254,10 @@
         part.calling = false;
         switch (result) {
             case ACCEPTED -> {
+                if (!part.confirmed) {
+                    part.confirmed = true;
+                    orders.announce(segment, true);
+                }
                 part.handover = null;
                 part.nextCallAt = now + timing.renewMillis();
             }
@@ -313,6 +320,7 @@
         part.heldUntil = whole.heldUntil;
         part.nextCallAt = whole.nextCallAt;
         part.handover = whole.handover;
+        part.confirmed = whole.confirmed;
         parts.put(first, part);
         return part;
     }
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
@@ -46,6 +46,7 @@
     long now = 1_000;
     int saves;
     int handovers;
+    int announcedGrants;
     boolean storeLosesAnswers;
 
     Backend add(String name) {
@@ -193,6 +194,13 @@
         }
     }
 
+    @Override
+    public void announce(KeySegment segment, boolean granted) {
+        if (granted) {
+            announcedGrants++;
+        }
+    }
+
     @Override
     public void save(KeyTable table) {
         saves++;
--- /dev/null
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/OwnerViewTest.java
@@ -0,0 +1,58 @@
+package org.jackdawslip.internal.keyspace;
+
+import java.util.List;
+
+import org.jackdawslip.BackendServerId;
+import org.jackdawslip.FencingToken;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+/** Guards against requests that go to an owner which is giving the key up, and against old notices that win. */
+class OwnerViewTest {
+
+    private final OwnerView view = new OwnerView();
+
+    OwnerViewTest() {
+        view.table(new KeyTable(List.of(segment("s1", 0, 999, 5)), new FencingToken(6)), 10);
+    }
+
+    private static KeySegment segment(String owner, int first, int last, long token) {
+        return new KeySegment(first, last, new BackendServerId(owner), 1, new FencingToken(token));
+    }
+
+    @Test
+    void slotsThatAreGivenUpHaveNoOwner() {
+        view.notice(segment("s1", 100, 199, 5), false, 0);
+        assertNull(view.find(150, 10));
+        assertEquals("s1", view.find(200, 10).owner().value());
+    }
+
+    @Test
+    void grantedSlotsBelongToTheNewOwnerBeforeTheTableArrives() {
+        view.notice(segment("s1", 100, 199, 5), false, 0);
+        view.notice(segment("s2", 100, 199, 6), true, 5);
+        assertEquals("s2", view.find(150, 10).owner().value());
+    }
+
+    /** A release that was announced and then given up must not hide the owner for ever. */
+    @Test
+    void noticesEnd() {
+        view.notice(segment("s1", 100, 199, 5), false, 0);
+        assertEquals("s1", view.find(150, 4_000).owner().value());
+    }
+
+    @Test
+    void newerTableBeatsOldNotices() {
+        view.notice(segment("s2", 0, 999, 6), true, 0);
+        view.table(new KeyTable(List.of(segment("s3", 0, 999, 7)), new FencingToken(8)), 11);
+        assertEquals("s3", view.find(150, 10).owner().value());
+    }
+
+    @Test
+    void olderTableIsIgnored() {
+        view.table(new KeyTable(List.of(segment("s9", 0, 999, 4)), new FencingToken(5)), 9);
+        assertEquals("s1", view.find(0, 0).owner().value());
+    }
+}
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
@@ -106,7 +106,7 @@
         }
         if (written) {
             context.flush();
-            if (entries.size() < MAX_PIPELINED) {
+            if (entries.size() < MAX_PIPELINED && !server.finishing()) {
                 context.channel().config().setAutoRead(true);
             }
         }
@@ -121,11 +121,13 @@
         entries.clear();
     }
 
-    /** Closes the connection if no request is open on it. */
-    void closeIfIdle() {
+    /** Reads no further requests and closes the connection once those that were read are answered. */
+    void finish() {
         if (entries.isEmpty()) {
             closing = true;
             context.close();
+        } else {
+            context.channel().config().setAutoRead(false);
         }
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -14,8 +14,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.jackdawslip.internal.time.MonotonicClock;
 
 /**
@@ -121,7 +121,11 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
-                                .addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER_BYTES), connection);
+                                .addLast(
+                                        new HttpRequestEncoder(),
+                                        connection.decoder(),
+                                        new HttpObjectAggregator(MAX_ANSWER_BYTES),
+                                        connection);
                     }
                 });
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FrontServer.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FrontServer.java
@@ -34,6 +34,7 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listener;
     private boolean stopping;
+    private boolean finishing;
 
     FrontServer(EventLoopGroup loop, Services services) {
         this.loop = loop;
@@ -105,16 +106,21 @@
         stopping = true;
     }
 
-    void closeIdle() {
-        List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+    /** Takes no further connections and requests; those that were read are answered. */
+    void finish() {
+        if (!finishing) {
+            finishing = true;
+            listener.close();
+            List.copyOf(connections).forEach(CallerConnection::finish);
+        }
+    }
+
+    boolean finishing() {
+        return finishing;
     }
 
     /** Returns the number of connections on which a request is open. */
     long busy() {
         return connections.stream().filter(CallerConnection::busy).count();
     }
-
-    void closeListener() {
-        listener.close();
-    }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -15,8 +15,10 @@
 import org.jackdawslip.ErrorCode;
 import org.jackdawslip.InstanceId;
 import org.jackdawslip.JackdawslipException;
+import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.balance.Balancer;
 import org.jackdawslip.internal.concurrent.Clocks;
+import org.jackdawslip.internal.keyspace.KeyNotice;
 import org.jackdawslip.internal.logging.BoundedLines;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.time.MonotonicClock;
@@ -85,8 +87,18 @@
         view = new PlatformView(context, this::apply);
         members = new MemberRecords(context, view, this::membersChanged);
         LeaseGuard guard = new LeaseGuard(clock, Clocks.wall());
-        keys = new KeyControl(context, routing, directory, view, guard, caller, random);
-        peers = new PeerExchange(context, directory, keys::keyUsed);
+        keys = new KeyControl(context, routing, directory, view, guard, caller, random, this::announce);
+        peers = new PeerExchange(context, directory, new PeerListener() {
+            @Override
+            public void keyUsed(ServiceName service, int slot) {
+                keys.keyUsed(service, slot);
+            }
+
+            @Override
+            public void noticed(KeyNotice notice) {
+                Gateway.this.noticed(notice);
+            }
+        });
         Balancer balancer = new Balancer(settings.domain(), random);
         Services services = new Services(loop, clock, log, adapter, routing, directory, balancer, peers, metrics);
         front = new FrontServer(group, services);
@@ -127,6 +139,15 @@
         metrics.gauge("store.lost", () -> view.lost() ? 1 : 0);
     }
 
+    private void announce(KeyNotice notice) {
+        noticed(notice);
+        peers.announce(notice);
+    }
+
+    private void noticed(KeyNotice notice) {
+        routing.owners(notice.service()).notice(notice.segment(), notice.granted(), clock.millis());
+    }
+
     private StatusServer.Page readiness() {
         boolean ready = !stopping && view.synced() && routing.config() != null;
         return ready ? new StatusServer.Page(200, "ready\n") : new StatusServer.Page(503, "not ready\n");
@@ -163,7 +184,7 @@
         }
     }
 
-    private void membersChanged(Map<InstanceId, InetSocketAddress> live) {
+    private void membersChanged(Map<InstanceId, PeerExchange.Peer> live) {
         peers.peers(live);
         routing.instances(List.copyOf(live.keySet()));
         Set<InstanceId> instances = routing.instances();
@@ -205,10 +226,11 @@
     private void pollStop() {
         long elapsed = clock.millis() - stopBegan;
         boolean late = elapsed > settings.bounds().stopMillis() - STOP_MARGIN_MILLIS;
+        if (elapsed > STOP_MIN_MILLIS) {
+            front.finish();
+        }
         if (late || elapsed > STOP_MIN_MILLIS && front.busy() == 0) {
             log.info("stopped", "afterMillis", elapsed, "openConnections", front.busy());
-            front.closeListener();
-            front.closeIdle();
             view.stop();
             peers.close();
             loop.schedule(whenStopped, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 
@@ -23,8 +24,10 @@
     private static final long DEFAULT_IDLE_MILLIS = 4_000;
 
     private final ConnectionPool pool;
+    private final AnswerDecoder decoder = new AnswerDecoder(this);
     private Channel channel;
     private ExchangeListener listener;
+    private boolean headRequest;
     private boolean reusable = true;
     private boolean broken;
     private long idleSince;
@@ -34,6 +37,20 @@
         this.pool = pool;
     }
 
+    AnswerDecoder decoder() {
+        return decoder;
+    }
+
+    /** Returns whether no exchange is open. */
+    boolean idle() {
+        return listener == null;
+    }
+
+    /** Returns whether the answer to the open request has no body whatever its headers say. */
+    boolean expectsNoBody() {
+        return headRequest;
+    }
+
     void opened(Channel open) {
         channel = open;
     }
@@ -41,6 +58,7 @@
     /** Sends a request. The connection takes over the reference to it. */
     void send(FullHttpRequest request, ExchangeListener newListener) {
         listener = newListener;
+        headRequest = request.method().equals(HttpMethod.HEAD);
         channel.writeAndFlush(request, channel.voidPromise());
     }
 
@@ -78,6 +96,7 @@
             return;
         }
         noteKeepAlive(answer);
+        reusable &= !decoder.surplus();
         ExchangeListener current = listener;
         if (!current.answered(answer)) {
             reusable = false;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import org.jackdawslip.BackendServerId;
@@ -18,6 +19,7 @@
 import org.jackdawslip.internal.keyspace.KeyCustodian;
 import org.jackdawslip.internal.keyspace.KeyLoads;
 import org.jackdawslip.internal.keyspace.KeyMove;
+import org.jackdawslip.internal.keyspace.KeyNotice;
 import org.jackdawslip.internal.keyspace.KeyOrders;
 import org.jackdawslip.internal.keyspace.KeyRebalancer;
 import org.jackdawslip.internal.keyspace.KeySegment;
@@ -80,6 +82,7 @@
     private final LeaseGuard guard;
     private final ControlCalls calls;
     private final Random random;
+    private final Consumer<KeyNotice> announcer;
     private final Map<ServiceName, KeyLoads> loads = new HashMap<>();
     private final Map<ServiceName, Keeper> keepers = new HashMap<>();
     private InstanceId holder;
@@ -99,7 +102,8 @@
             PlatformView view,
             LeaseGuard guard,
             HttpCaller caller,
-            Random random) {
+            Random random,
+            Consumer<KeyNotice> announcer) {
         this.context = context;
         this.self = context.settings().instance();
         this.bounds = context.settings().bounds();
@@ -114,6 +118,7 @@
         this.guard = guard;
         this.calls = new ControlCalls(caller, adapter.headers().expectedServer(), () -> leading && guard.valid());
         this.random = random;
+        this.announcer = announcer;
     }
 
     void start() {
@@ -140,7 +145,7 @@
         }
         ServiceName service = new ServiceName(name.substring(TABLES.length()));
         if (value != null) {
-            routing.table(service, KeyTables.decode(value), revision);
+            routing.owners(service).table(KeyTables.decode(value), revision);
             Keeper keeper = keepers.get(service);
             if (keeper != null && revision > keeper.tableRevision && !keeper.saveUnderWay) {
                 log.warn("owner-table-changed-by-other", "service", service, "revision", revision);
@@ -328,7 +333,7 @@
                     if (item.key().equals(tableKey())) {
                         table = KeyTables.decode(item.value());
                         tableRevision = item.revision();
-                        routing.table(service, table, item.revision());
+                        routing.owners(service).table(table, item.revision());
                     }
                 }
                 custodian = new KeyCustodian(timing(), this, table, clock.millis());
@@ -433,6 +438,11 @@
                     answer.status());
         }
 
+        @Override
+        public void announce(KeySegment segment, boolean granted) {
+            announcer.accept(new KeyNotice(service, segment, granted));
+        }
+
         @Override
         public void save(KeyTable table) {
             saveUnderWay = true;
@@ -450,7 +460,7 @@
                 }
                 if (result.status() == DurableStore.Status.DONE) {
                     tableRevision = result.revision();
-                    routing.table(service, table, tableRevision);
+                    routing.owners(service).table(table, tableRevision);
                     log.info(
                             "owner-table-saved",
                             "service",
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberRecords.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberRecords.java
@@ -20,6 +20,8 @@
 final class MemberRecords {
 
     private static final String MEMBERS = "members/";
+    /** Stands between the address and the failure domain in a record. */
+    private static final char SEPARATOR = ' ';
     /** Term of a listing. Peers share budgets with a lost instance for at most this time. */
     private static final long TERM_MILLIS = 8_000;
 
@@ -28,7 +30,7 @@
 
     /** Hears of a change of the live instances. */
     interface Listener {
-        void changed(Map<InstanceId, InetSocketAddress> live);
+        void changed(Map<InstanceId, PeerExchange.Peer> live);
     }
 
     private final GatewaySettings settings;
@@ -38,7 +40,7 @@
     private final EventLog log;
     private final PlatformView view;
     private final Listener listener;
-    private final Map<InstanceId, InetSocketAddress> live = new HashMap<>();
+    private final Map<InstanceId, PeerExchange.Peer> live = new HashMap<>();
     private long lease;
     private boolean stopped;
 
@@ -64,7 +66,7 @@
                 return;
             }
             lease = made.lease();
-            byte[] value = settings.peerAddress().getBytes(StandardCharsets.UTF_8);
+            byte[] value = (settings.peerAddress() + SEPARATOR + settings.domain()).getBytes(StandardCharsets.UTF_8);
             String key = adapter.ownKey(MEMBERS + settings.instance());
             DurableStore.Change change =
                     new DurableStore.Change(List.of(), List.of(new DurableStore.Item(key, value, 0)), lease);
@@ -106,7 +108,7 @@
             if (value == null) {
                 live.remove(instance);
             } else {
-                live.put(instance, address(new String(value, StandardCharsets.UTF_8)));
+                live.put(instance, peer(new String(value, StandardCharsets.UTF_8)));
             }
             log.info(value == null ? "member-gone" : "member-listed", "member", instance, "live", live.size());
             listener.changed(Map.copyOf(live));
@@ -116,6 +118,15 @@
         return true;
     }
 
+    private PeerExchange.Peer peer(String text) {
+        int separator = text.indexOf(SEPARATOR);
+        if (separator < 0) {
+            throw new IllegalArgumentException("\"" + text + "\" has no failure domain");
+        }
+        boolean near = text.substring(separator + 1).equals(settings.domain().value());
+        return new PeerExchange.Peer(address(text.substring(0, separator)), near);
+    }
+
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         if (colon < 0) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -27,10 +27,13 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import org.jackdawslip.BackendServerId;
 import org.jackdawslip.ErrorCode;
+import org.jackdawslip.FencingToken;
 import org.jackdawslip.InstanceId;
 import org.jackdawslip.JackdawslipException;
 import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.balance.LoadReport;
+import org.jackdawslip.internal.keyspace.KeyNotice;
+import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.time.MonotonicClock;
 
@@ -43,8 +46,10 @@
  */
 final class PeerExchange {
 
-    /** Changes within this time travel in one datagram. */
-    private static final long BATCH_MILLIS = 8;
+    /** Changes within this time travel in one datagram to peers in the own failure domain. */
+    private static final long NEAR_BATCH_MILLIS = 8;
+    /** The same for peers in other failure domains, where bytes are expensive and whose servers are used less. */
+    private static final long FAR_BATCH_MILLIS = 120;
     /** Interval at which all non-zero counts are repeated, because datagrams get lost. */
     private static final long REPEAT_MILLIS = 1_000;
     /** Interval at which used keys are sent. */
@@ -60,6 +65,15 @@
     private static final int FIELD_SENDER = 1;
     private static final int FIELD_SERVER = 2;
     private static final int FIELD_KEY = 3;
+    private static final int FIELD_COMPLETE = 4;
+    private static final int FIELD_NOTICE = 5;
+    private static final int NOTICE_SERVICE = 1;
+    private static final int NOTICE_FIRST = 2;
+    private static final int NOTICE_LAST = 3;
+    private static final int NOTICE_OWNER = 4;
+    private static final int NOTICE_STARTED = 5;
+    private static final int NOTICE_TOKEN = 6;
+    private static final int NOTICE_GRANTED = 7;
     private static final int ENTRY_ID = 1;
     private static final int ENTRY_IN_FLIGHT = 2;
     private static final int ENTRY_RUNNING = 3;
@@ -70,38 +84,68 @@
     private static final int KEY_SERVICE = 1;
     private static final int KEY_SLOT = 2;
 
-    /** Hears of used keys at the custodian. */
-    interface KeyListener {
-        void keyUsed(ServiceName service, int slot);
-    }
-
     private final Context context;
     private final InstanceId self;
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final EventLog log;
     private final BackendDirectory directory;
-    private final KeyListener keyListener;
-    private final Map<InstanceId, InetSocketAddress> peers = new HashMap<>();
+    private final PeerListener listener;
+    private final Map<InstanceId, Peer> peers = new HashMap<>();
     private final Map<InstanceId, Long> heardAt = new HashMap<>();
-    private final Set<BackendDirectory.Target> changed = new HashSet<>();
-    private final Map<BackendDirectory.Target, LoadReport> reports = new HashMap<>();
-    private final Map<BackendDirectory.Target, Integer> speeds = new HashMap<>();
+    private final Outbox near = new Outbox(NEAR_BATCH_MILLIS);
+    private final Outbox far = new Outbox(FAR_BATCH_MILLIS);
     private final List<KeyUse> keyUses = new ArrayList<>();
     private InstanceId custodian;
-    private boolean flushScheduled;
     private Channel channel;
 
     private record KeyUse(ServiceName service, int slot) {}
 
-    PeerExchange(Context context, BackendDirectory directory, KeyListener keyListener) {
+    /**
+     * Another instance. Immutable and thread-safe.
+     *
+     * @param address where it takes datagrams
+     * @param near whether it is in the own failure domain
+     */
+    record Peer(InetSocketAddress address, boolean near) {}
+
+    /** What the peers of one kind have not been told yet. */
+    private final class Outbox {
+        final long batchMillis;
+        final Set<BackendDirectory.Target> changed = new HashSet<>();
+        final Map<BackendDirectory.Target, LoadReport> reports = new HashMap<>();
+        final Map<BackendDirectory.Target, Integer> speeds = new HashMap<>();
+        boolean scheduled;
+
+        Outbox(long batchMillis) {
+            this.batchMillis = batchMillis;
+        }
+
+        void changed(BackendDirectory.Target target) {
+            changed.add(target);
+            if (!scheduled) {
+                scheduled = true;
+                loop.schedule(this::flush, batchMillis, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void flush() {
+            scheduled = false;
+            send(this, List.copyOf(changed), false);
+            changed.clear();
+            reports.clear();
+            speeds.clear();
+        }
+    }
+
+    PeerExchange(Context context, BackendDirectory directory, PeerListener listener) {
         this.context = context;
         this.self = context.settings().instance();
         this.loop = context.loop();
         this.clock = context.clock();
         this.log = context.log();
         this.directory = directory;
-        this.keyListener = keyListener;
+        this.listener = listener;
     }
 
     void start(InetSocketAddress address) {
@@ -126,7 +170,7 @@
         return self;
     }
 
-    void peers(Map<InstanceId, InetSocketAddress> live) {
+    void peers(Map<InstanceId, Peer> live) {
         for (InstanceId known : List.copyOf(peers.keySet())) {
             if (!live.containsKey(known)) {
                 directory.forgetPeer(known);
@@ -143,46 +187,54 @@
     }
 
     void inFlightChanged(BackendDirectory.Target target) {
-        changed.add(target);
-        if (!flushScheduled) {
-            flushScheduled = true;
-            loop.schedule(this::flush, BATCH_MILLIS, TimeUnit.MILLISECONDS);
-        }
+        near.changed(target);
+        far.changed(target);
     }
 
     void loadReported(BackendDirectory.Target target, LoadReport report) {
-        reports.put(target, report);
+        near.reports.put(target, report);
+        far.reports.put(target, report);
         inFlightChanged(target);
     }
 
     /** Takes the relative service time of a request, which the peers learn as well. */
     void speedSample(BackendDirectory.Target target, double relative) {
         target.tracker.speedSample(relative);
-        speeds.put(target, (int) Math.round(relative * SPEED_SCALE));
+        int percent = (int) Math.round(relative * SPEED_SCALE);
+        near.speeds.put(target, percent);
+        far.speeds.put(target, percent);
         inFlightChanged(target);
     }
 
     void keyUsed(ServiceName service, int slot) {
         if (self.equals(custodian)) {
-            keyListener.keyUsed(service, slot);
+            listener.keyUsed(service, slot);
         } else if (custodian != null) {
             keyUses.add(new KeyUse(service, slot));
         }
     }
 
-    private void flush() {
-        flushScheduled = false;
-        send(List.copyOf(changed));
-        changed.clear();
-        reports.clear();
-        speeds.clear();
+    /** Spreads a notice of the custodian. */
+    void announce(KeyNotice notice) {
+        KeySegment segment = notice.segment();
+        byte[] bytes = encode(output -> output.writeByteArray(FIELD_NOTICE, encode(entry -> {
+            entry.writeString(NOTICE_SERVICE, notice.service().value());
+            entry.writeInt32(NOTICE_FIRST, segment.first());
+            entry.writeInt32(NOTICE_LAST, segment.last());
+            entry.writeString(NOTICE_OWNER, segment.owner().value());
+            entry.writeInt64(NOTICE_STARTED, segment.ownerStartedAtMillis());
+            entry.writeInt64(NOTICE_TOKEN, segment.token().value());
+            entry.writeBool(NOTICE_GRANTED, notice.granted());
+        })));
+        peers.values().forEach(peer -> send(peer.address(), bytes));
     }
 
     private void repeat() {
         List<BackendDirectory.Target> busy = directory.all().stream()
                 .filter(target -> target.tracker.inFlight() > 0)
                 .toList();
-        send(busy);
+        send(near, busy, true);
+        send(far, busy, true);
         long now = clock.millis();
         heardAt.entrySet().removeIf(entry -> {
             boolean silent = now - entry.getValue() > SILENCE_MILLIS;
@@ -194,40 +246,48 @@
         });
     }
 
-    private void send(List<BackendDirectory.Target> targets) {
-        for (int from = 0; from < targets.size(); from += MAX_ENTRIES) {
+    /** Sends the counts of the targets; a complete message states that all other counts are zero. */
+    private void send(Outbox outbox, List<BackendDirectory.Target> targets, boolean complete) {
+        for (int from = 0; from < targets.size() || complete && from == 0; from += MAX_ENTRIES) {
+            boolean first = from == 0;
             List<BackendDirectory.Target> part = targets.subList(from, Math.min(targets.size(), from + MAX_ENTRIES));
             byte[] bytes = encode(output -> {
+                if (complete && first) {
+                    output.writeBool(FIELD_COMPLETE, true);
+                }
                 for (BackendDirectory.Target target : part) {
-                    output.writeByteArray(FIELD_SERVER, encode(entry -> writeServer(entry, target)));
+                    output.writeByteArray(FIELD_SERVER, encode(entry -> writeServer(outbox, entry, target)));
                 }
             });
-            peers.values().forEach(peer -> send(peer, bytes));
+            peers.values().stream()
+                    .filter(peer -> peer.near() == (outbox == near))
+                    .forEach(peer -> send(peer.address(), bytes));
         }
     }
 
-    private void writeServer(CodedOutputStream entry, BackendDirectory.Target target) throws IOException {
+    private static void writeServer(Outbox outbox, CodedOutputStream entry, BackendDirectory.Target target)
+            throws IOException {
         entry.writeString(ENTRY_ID, target.backend().id().value());
         entry.writeInt32(ENTRY_IN_FLIGHT, target.tracker.inFlight());
-        LoadReport report = reports.get(target);
+        LoadReport report = outbox.reports.get(target);
         if (report != null) {
             entry.writeInt32(ENTRY_RUNNING, report.running());
             entry.writeInt32(ENTRY_WAITING, report.waiting());
             entry.writeInt32(ENTRY_SLOTS, report.slots());
             entry.writeInt32(ENTRY_PACE, report.pacePercent());
         }
-        Integer speed = speeds.get(target);
+        Integer speed = outbox.speeds.get(target);
         if (speed != null) {
             entry.writeInt32(ENTRY_SPEED, speed);
         }
     }
 
     private void sendKeys() {
-        InetSocketAddress to = custodian == null ? null : peers.get(custodian);
+        Peer to = custodian == null ? null : peers.get(custodian);
         if (to != null) {
             for (int from = 0; from < keyUses.size(); from += MAX_ENTRIES) {
                 List<KeyUse> part = keyUses.subList(from, Math.min(keyUses.size(), from + MAX_ENTRIES));
-                send(to, encode(output -> {
+                send(to.address(), encode(output -> {
                     for (KeyUse use : part) {
                         output.writeByteArray(FIELD_KEY, encode(entry -> writeKey(entry, use)));
                     }
@@ -288,7 +348,12 @@
                         sender = new InstanceId(input.readString());
                         heardAt.put(sender, clock.millis());
                     }
+                    case FIELD_COMPLETE -> {
+                        input.readBool();
+                        directory.forgetPeer(sender);
+                    }
                     case FIELD_SERVER -> readServer(sender, CodedInputStream.newInstance(input.readByteArray()));
+                    case FIELD_NOTICE -> readNotice(CodedInputStream.newInstance(input.readByteArray()));
                     case FIELD_KEY -> readKey(CodedInputStream.newInstance(input.readByteArray()));
                     default -> input.skipField(tag);
                 }
@@ -316,13 +381,36 @@
             if (numbers[ENTRY_SLOTS] > 0) {
                 LoadReport report = new LoadReport(
                         numbers[ENTRY_RUNNING], numbers[ENTRY_WAITING], numbers[ENTRY_SLOTS], numbers[ENTRY_PACE]);
-                target.tracker.report(report, clock.millis(), BATCH_MILLIS);
+                target.tracker.report(report, clock.millis(), NEAR_BATCH_MILLIS);
             }
             if (numbers[ENTRY_SPEED] > 0) {
                 target.tracker.speedSample(numbers[ENTRY_SPEED] / SPEED_SCALE);
             }
         }
 
+        private void readNotice(CodedInputStream input) throws IOException {
+            String service = "";
+            String owner = "";
+            long[] numbers = new long[NOTICE_GRANTED + 1];
+            for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
+                int field = WireFormat.getTagFieldNumber(tag);
+                switch (field) {
+                    case NOTICE_SERVICE -> service = input.readString();
+                    case NOTICE_OWNER -> owner = input.readString();
+                    case NOTICE_FIRST, NOTICE_LAST, NOTICE_STARTED, NOTICE_TOKEN, NOTICE_GRANTED -> numbers[field] =
+                            input.readInt64();
+                    default -> input.skipField(tag);
+                }
+            }
+            KeySegment segment = new KeySegment(
+                    (int) numbers[NOTICE_FIRST],
+                    (int) numbers[NOTICE_LAST],
+                    new BackendServerId(owner),
+                    numbers[NOTICE_STARTED],
+                    new FencingToken(numbers[NOTICE_TOKEN]));
+            listener.noticed(new KeyNotice(new ServiceName(service), segment, numbers[NOTICE_GRANTED] != 0));
+        }
+
         private void readKey(CodedInputStream input) throws IOException {
             String service = "";
             int slot = 0;
@@ -333,7 +421,7 @@
                     default -> input.skipField(tag);
                 }
             }
-            keyListener.keyUsed(new ServiceName(service), slot & 0xFFFF);
+            listener.keyUsed(new ServiceName(service), slot & 0xFFFF);
         }
     }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -21,8 +21,8 @@
 
     /** Wait of one watch; a shorter one costs more calls, a longer one hides a silent connection for longer. */
     private static final long WATCH_MILLIS = 10_000;
-    /** Pause between two watches, so that changes which come together cost one call. */
-    private static final long GATHER_MILLIS = 60;
+    /** Pause between two watches, so that changes which come together cost one call. The tightest bound is 2 s. */
+    private static final long GATHER_MILLIS = 300;
     /** First and longest pause after a call that failed. */
     private static final long FIRST_RETRY_MILLIS = 100;
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -74,6 +74,8 @@
     private ServiceConfig serviceConfig;
     private long deadlineAt;
     private int keySlot = -1;
+    private Attempt lastAttempt;
+    private int sends;
     private int mayHaveRun;
     private int refusals;
     private int connectFailures;
@@ -169,7 +171,7 @@
     }
 
     private BackendTracker owner() {
-        KeySegment segment = services.routing().table(service).find(keySlot);
+        KeySegment segment = services.routing().owners(service).find(keySlot, now());
         BackendDirectory.Target target =
                 segment == null ? null : services.directory().find(segment.owner());
         if (target == null
@@ -233,6 +235,8 @@
             server.pacer().trySend(now, serviceConfig.warmupRequestsPerSecond(), senders);
         }
         Attempt attempt = new Attempt(services.directory().target(server), now);
+        lastAttempt = attempt;
+        sends++;
         tried.add(server.backend().id());
         open.add(attempt);
         mayHaveRun++;
@@ -428,7 +432,15 @@
                         "key",
                         keySlot < 0 ? null : keySlot,
                         "sends",
-                        tried.size(),
+                        sends,
+                        "backend",
+                        lastAttempt == null
+                                ? null
+                                : lastAttempt.target.backend().id(),
+                        "sentAfterMillis",
+                        lastAttempt == null ? null : lastAttempt.sentAt - request.receivedAt(),
+                        "busyAtSend",
+                        lastAttempt == null ? null : lastAttempt.busyAtSend,
                         "afterMillis",
                         now() - request.receivedAt());
         services.metrics().refused(code);
@@ -495,13 +507,16 @@
         /** Whether all slots of the server seemed taken when the request was sent. */
         private final boolean queued;
 
+        private final double busyAtSend;
+
         private ConnectionPool.Exchange exchange;
         private boolean open = true;
 
         Attempt(BackendDirectory.Target target, long sentAt) {
             this.target = target;
             this.sentAt = sentAt;
-            this.queued = target.tracker.busy(sentAt) >= target.backend().slots();
+            this.busyAtSend = target.tracker.busy(sentAt);
+            this.queued = busyAtSend >= target.backend().slots();
         }
 
         void giveUp() {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
@@ -11,7 +11,7 @@
 import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.balance.LatencyEstimate;
 import org.jackdawslip.internal.balance.RetryBudget;
-import org.jackdawslip.internal.keyspace.KeyTable;
+import org.jackdawslip.internal.keyspace.OwnerView;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.traffic.HostRoute;
 import org.jackdawslip.internal.traffic.RoutingConfig;
@@ -21,8 +21,7 @@
  * What decides where a request goes: the configuration in force, the owners of keys, the live instances, and the
  * budgets and running means that follow from requests.
  *
- * <p>Invariant: the version of the configuration never falls, nor does the revision of an owner table. Confined to the
- * event loop.
+ * <p>Invariant: the version of the configuration never falls. Confined to the event loop.
  */
 final class RoutingState {
 
@@ -36,8 +35,7 @@
     private final TrafficSplitter splitter;
     private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
     private final Map<String, LatencyEstimate> latencies = new HashMap<>();
-    private final Map<ServiceName, KeyTable> tables = new HashMap<>();
-    private final Map<ServiceName, Long> tableRevisions = new HashMap<>();
+    private final Map<ServiceName, OwnerView> owners = new HashMap<>();
     private Set<InstanceId> instances;
     private RoutingConfig config;
 
@@ -84,19 +82,8 @@
                 route.name() + ' ' + service, name -> new LatencyEstimate(ASSUMED_SHARE * route.targetLatencyMillis()));
     }
 
-    KeyTable table(ServiceName service) {
-        return tables.getOrDefault(service, KeyTable.empty());
-    }
-
-    long tableRevision(ServiceName service) {
-        return tableRevisions.getOrDefault(service, 0L);
-    }
-
-    void table(ServiceName service, KeyTable table, long revision) {
-        if (revision > tableRevision(service)) {
-            tables.put(service, table);
-            tableRevisions.put(service, revision);
-        }
+    OwnerView owners(ServiceName service) {
+        return owners.computeIfAbsent(service, name -> new OwnerView());
     }
 
     /** Returns the live instances, this one included. */
