Deal keys in finer segments and let a reported pace last a quarter of a second

Cause: the busiest keys are neighbours, and a first segment of 1260 slots held a quarter of all requests; the first round of moves came 3.8 s after the first request. Keys are dealt in up to 208 segments and rounds follow every 0.7 s. Expected times of several seconds at the reported pace of one moment led to refusals; a pace changes about every 400 ms and now counts for 250 ms of work.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
@@ -16,6 +16,12 @@
     private static final double PACE_HALF_LIFE_MILLIS = 300;
     /** Age after which the queue of a load report says nothing, in milliseconds. */
     private static final double QUEUE_HALF_LIFE_MILLIS = 100;
+    /** Time for which a reported pace lasts on average, in milliseconds. Work beyond it takes its usual time. */
+    private static final double PACE_LASTS_MILLIS = 250;
+    /** Relative slow-down of a server whose slots are all taken. */
+    private static final double CROWDING = 0.1;
+    /** Factor by which the failure rate makes a server seem slower. */
+    private static final double FAILURE_PENALTY = 3;
     /** Weight of the newest service time in the running mean. */
     private static final double SPEED_WEIGHT = 0.07;
     /** Weight of the newest outcome in the failure rate. */
@@ -182,9 +188,10 @@
         double slots = Math.max(1, backend.slots());
         double busy = busy(now);
         double waiting = Math.max(0, busy + 1 - slots);
-        double service = usualMillis * ratio * pace(now);
-        double crowding = 1 + 0.1 * Math.min(1, busy / slots);
-        return service * (crowding + waiting / slots) * (1 + 3 * failureRate);
+        double crowding = 1 + CROWDING * Math.min(1, busy / slots);
+        double millis = usualMillis * ratio * (crowding + waiting / slots);
+        double slowed = Math.min(millis, PACE_LASTS_MILLIS) * (pace(now) - 1);
+        return (millis + slowed) * (1 + FAILURE_PENALTY * failureRate);
     }
 
     /** Returns the running mean of the service time relative to the usual one. */
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/Balancer.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/Balancer.java
@@ -14,7 +14,7 @@
 public final class Balancer {
 
     /** Share of the target latency that a send to another failure domain has to gain. */
-    private static final double CROSSING_SHARE = 0.08;
+    private static final double CROSSING_SHARE = 0.15;
     /** Largest random factor on expected times, so that instances with the same view do not choose the same server. */
     private static final double SCATTER = 0.15;
 
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
@@ -29,8 +29,12 @@
  */
 public final class KeyCustodian {
 
-    /** Segments for each owner when keys are first dealt, interleaved because busy keys are neighbours. */
-    private static final int FIRST_SEGMENTS_PER_OWNER = 4;
+    /** Segments when keys are first dealt, interleaved because busy keys are neighbours. Each costs its renewals. */
+    private static final int FIRST_SEGMENTS = 208;
+    /** Segments of each owner when keys are first dealt, at least and at most. */
+    private static final int MIN_FIRST_SEGMENTS_PER_OWNER = 4;
+
+    private static final int MAX_FIRST_SEGMENTS_PER_OWNER = 16;
     /** Added to the next token when a server has seen a higher one than the table knows. */
     private static final long TOKEN_STEP = 1_000;
 
@@ -168,7 +172,8 @@
             return;
         }
         if (free.size() == 1 && free.get(0).first == 0 && free.get(0).last == KeySegment.SLOTS - 1) {
-            free = deal(FIRST_SEGMENTS_PER_OWNER * capacities.size());
+            int perOwner = Math.min(MAX_FIRST_SEGMENTS_PER_OWNER, FIRST_SEGMENTS / capacities.size());
+            free = deal(Math.max(MIN_FIRST_SEGMENTS_PER_OWNER, perOwner) * capacities.size());
         }
         Map<BackendServerId, Double> owned = owned(capacities, loads);
         FencingToken token = nextToken;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
@@ -47,9 +47,9 @@
     /** Interval between two looks at all segments. */
     private static final long TICK_MILLIS = 40;
     /** Interval between two rounds of moves. */
-    private static final long REBALANCE_MILLIS = 1_000;
+    private static final long REBALANCE_MILLIS = 700;
     /** Requests for each owner that have to be known before keys are moved because of load. */
-    private static final double MIN_KNOWN_REQUESTS = 4;
+    private static final double MIN_KNOWN_REQUESTS = 2;
     /** Spread of the attempts of the instances to get a free role. */
     private static final int CLAIM_SPREAD_MILLIS = 250;
     /** Pause after a failed attempt. */
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -49,7 +49,7 @@
     /** Changes within this time travel in one datagram to peers in the own failure domain. */
     private static final long NEAR_BATCH_MILLIS = 8;
     /** The same for peers in other failure domains, where bytes are expensive and whose servers are used less. */
-    private static final long FAR_BATCH_MILLIS = 120;
+    private static final long FAR_BATCH_MILLIS = 40;
     /** Interval at which all non-zero counts are repeated, because datagrams get lost. */
     private static final long REPEAT_MILLIS = 1_000;
     /** Interval at which used keys are sent. */
