Avoid servers that fall silent, and tell the story of a request from logs

Cause: an attempt that was given up without an answer left no mark, so a server that takes requests and never answers had nothing in flight and seemed free until its listing lapsed. Two overdue answers in a row now pause a server.

--- a/jackdawslip-cli/src/main/java/org/jackdawslip/cli/CommandLine.java
+++ b/jackdawslip-cli/src/main/java/org/jackdawslip/cli/CommandLine.java
@@ -75,6 +75,12 @@
                 .metavar("FILE")
                 .help("new private key file; FILE.pub gets the public key");
 
+        ExplainCommand explain = new ExplainCommand(out, System.in);
+        Subparser story = add(commands, "explain", "tell from logs why a request failed or was late", explain::run);
+        story.addArgument("id").metavar("REQUEST-ID").help("id of the request as the caller sent it");
+        story.addArgument("file").nargs("*").metavar("FILE").help("logs of the instances, or else standard input");
+        output(story);
+
         addBundleCommands(commands, bundles);
         addDomainCommands(commands, domains);
         addAdminCommands(commands, admin);
--- /dev/null
+++ b/jackdawslip-cli/src/test/java/org/jackdawslip/cli/ExplainCommandTest.java
@@ -0,0 +1,57 @@
+package org.jackdawslip.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against a story out of order, lines of other requests in it, and a missing cause. */
+class ExplainCommandTest {
+
+    private static final String LOST =
+            "{\"time\":\"2026-01-01T00:00:02Z\",\"level\":\"info\",\"event\":\"request-failed\",\"instance\":\"front-1\","
+                    + "\"request\":\"r-1\",\"code\":\"OUTCOME_UNKNOWN\",\"outcome\":\"unknown\","
+                    + "\"reason\":\"backend server b-1: CONNECTION_LOST\",\"key\":null}";
+    private static final String AGAIN =
+            "{\"time\":\"2026-01-01T00:00:01Z\",\"level\":\"info\",\"event\":\"request-sent-again\","
+                    + "\"instance\":\"front-1\",\"request\":\"r-1\",\"cause\":\"server full\"}";
+
+    @TempDir
+    private Path directory;
+
+    private final StringWriter out = new StringWriter();
+
+    private ExitCode run(String... args) {
+        PrintWriter writer = new PrintWriter(out, true);
+        return new CommandLine(writer, writer, settings -> {}).run(args);
+    }
+
+    private String file(String name, String... lines) throws IOException {
+        return Files.writeString(directory.resolve(name), String.join("\n", lines) + "\n")
+                .toString();
+    }
+
+    @Test
+    void mergesLogsInOrderOfTimeAndNamesTheCause() throws IOException {
+        String first = file("a.log", "  3.21 front-1 " + LOST, "not json {", LOST.replace("r-1", "r-2"));
+        String second = file("b.log", AGAIN);
+        assertEquals(ExitCode.OK, run("explain", "r-1", first, second));
+        String[] lines = out.toString().split("\n");
+        assertEquals(3, lines.length);
+        assertTrue(lines[0].contains("request-sent-again cause=server full"), lines[0]);
+        assertEquals("cause: OUTCOME_UNKNOWN (unknown): backend server b-1: CONNECTION_LOST", lines[2]);
+    }
+
+    @Test
+    void unknownRequestIsAnError() throws IOException {
+        assertEquals(ExitCode.BAD_INPUT, run("explain", "r-9", file("a.log", LOST)));
+        assertTrue(out.toString().contains("r-9"));
+    }
+}
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
@@ -35,6 +35,9 @@
 
     private static final long LONGEST_PAUSE_MILLIS = 2_000;
 
+    /** Overdue answers in a row before a server is avoided; one may be a long request. */
+    private static final int SILENCES_BEFORE_PAUSE = 2;
+
     private Backend backend;
     private final WarmupPacer pacer = new WarmupPacer();
     private final Map<InstanceId, Integer> peerInFlight = new HashMap<>();
@@ -47,6 +50,7 @@
     private long coldUntil = Long.MIN_VALUE;
     private long pausedUntil = Long.MIN_VALUE;
     private long pauseMillis;
+    private int silences;
 
     /** Starts to track a server. */
     public BackendTracker(Backend backend, long now) {
@@ -100,6 +104,7 @@
     public void answered(boolean success) {
         inFlight--;
         pauseMillis = 0;
+        silences = 0;
         failureRate += FAILURE_WEIGHT * ((success ? 0 : 1) - failureRate);
     }
 
@@ -114,6 +119,19 @@
         ratio += SPEED_WEIGHT * (newest - ratio);
     }
 
+    /**
+     * Counts a send that was given up because its answer was overdue. A server that is silent twice in a row is avoided
+     * for a while: with nothing in flight it would seem free.
+     */
+    public void silent(long now) {
+        inFlight--;
+        failureRate += FAILURE_WEIGHT * (1 - failureRate);
+        silences++;
+        if (silences >= SILENCES_BEFORE_PAUSE) {
+            unreachable(now);
+        }
+    }
+
     /** Counts an answer that says that the request did not run. */
     public void refused() {
         inFlight--;
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/RetryBudget.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/RetryBudget.java
@@ -74,6 +74,6 @@
     }
 
     private static int slot(long bucket) {
-        return (int) Math.floorMod(bucket, BUCKETS);
+        return Math.floorMod(bucket, BUCKETS);
     }
 }
--- /dev/null
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/BackendTrackerTest.java
@@ -0,0 +1,87 @@
+package org.jackdawslip.internal.balance;
+
+import org.jackdawslip.BackendServerId;
+import org.jackdawslip.FailureDomainId;
+import org.jackdawslip.InstanceId;
+import org.jackdawslip.ServiceName;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against a server that takes requests without answering, and against counts that drift. */
+class BackendTrackerTest {
+
+    private final BackendTracker tracker = new BackendTracker(
+            new Backend(
+                    new BackendServerId("s1"),
+                    1,
+                    new ServiceName("pool"),
+                    "10.0.0.1",
+                    80,
+                    new FailureDomainId("a"),
+                    3,
+                    false,
+                    0),
+            0);
+
+    private void silence(long now) {
+        tracker.sent();
+        tracker.silent(now);
+    }
+
+    /** A server that fell silent has nothing in flight and would seem free. */
+    @Test
+    void silentServerIsAvoidedForAWhile() {
+        silence(0);
+        assertFalse(tracker.paused(1));
+        silence(10);
+        assertTrue(tracker.paused(11));
+        assertFalse(tracker.paused(2_000));
+    }
+
+    @Test
+    void oneLongRequestBetweenAnswersIsNotSilence() {
+        for (int i = 0; i < 10; i++) {
+            silence(i);
+            tracker.sent();
+            tracker.answered(true);
+        }
+        assertFalse(tracker.paused(11));
+    }
+
+    @Test
+    void pausesDoubleUpToALimit() {
+        for (int i = 0; i < 10; i++) {
+            silence(0);
+        }
+        assertTrue(tracker.paused(1_900));
+        assertFalse(tracker.paused(2_100));
+    }
+
+    @Test
+    void countsOfPeersReplaceEachOther() {
+        tracker.peerInFlight(new InstanceId("p"), 4);
+        tracker.peerInFlight(new InstanceId("p"), 1);
+        tracker.sent();
+        assertEquals(2, tracker.busy(0));
+        tracker.forgetPeer(new InstanceId("p"));
+        assertEquals(1, tracker.busy(0));
+    }
+
+    /** A long queue at a pace that lasts a moment must not look like seconds of work. */
+    @Test
+    void reportedPaceCountsForAMomentOnly() {
+        tracker.report(new LoadReport(3, 9, 3, 300), 0, 0);
+        double millis = tracker.expectedMillis(400, 0);
+        assertTrue(millis < 2_600, "expected " + millis);
+    }
+
+    @Test
+    void restartedServerIsColdUntilItsListingSaysOtherwise() {
+        tracker.coldFor(500, 0);
+        assertTrue(tracker.cold(499));
+        assertFalse(tracker.cold(500));
+    }
+}
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -76,7 +76,7 @@
         this.adapter = adapter;
         this.lines = lines;
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        loop = (EventLoop) group.next();
+        loop = group.next();
         Random random = new Random();
         log = new EventLog(lines, settings.instance().value(), System::currentTimeMillis);
         routing = new RoutingState(settings, log, random);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -18,6 +17,7 @@
  */
 final class HttpConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
+    private static final String KEEP_ALIVE = "keep-alive";
     /** A server closes an idle connection after the announced time; this much earlier it is no longer used. */
     private static final long CLOSE_MARGIN_MILLIS = 700;
     /** Idle time after which a connection is no longer used if the server announced none. */
@@ -115,7 +115,7 @@
         if (!HttpUtil.isKeepAlive(answer)) {
             reusable = false;
         }
-        String keepAlive = answer.headers().get(HttpHeaderNames.KEEP_ALIVE);
+        String keepAlive = answer.headers().get(KEEP_ALIVE);
         int at = keepAlive == null ? -1 : keepAlive.indexOf("timeout=");
         if (at >= 0) {
             int end = at + "timeout=".length();
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -50,6 +50,8 @@
     private static final double HEDGE_FACTOR = 2.5;
     /** A second send starts at the earliest after this share of the target latency. */
     private static final double HEDGE_TARGET_SHARE = 0.45;
+    /** An answer is overdue after this multiple of the expected time. */
+    private static final double OVERDUE_FACTOR = 2;
     /** Pause that a refused caller is asked to make, in milliseconds. */
     private static final long RETRY_AFTER_MILLIS = 80;
 
@@ -234,7 +236,7 @@
             int senders = keySlot >= 0 ? services.routing().instances().size() : WarmupPacer.SENDERS;
             server.pacer().trySend(now, serviceConfig.warmupRequestsPerSecond(), senders);
         }
-        Attempt attempt = new Attempt(services.directory().target(server), now);
+        Attempt attempt = new Attempt(services.directory().target(server), now, expectedMillis);
         lastAttempt = attempt;
         sends++;
         tried.add(server.backend().id());
@@ -384,11 +386,41 @@
         CallerRequestData.copyEndToEnd(answer.headers(), headers);
         byte[] body = ByteBufUtil.getBytes(answer.content());
         finish();
+        long late = now() - request.receivedAt() - route.targetLatencyMillis();
+        if (late > 0) {
+            logLate(attempt, late);
+        }
         services.metrics()
                 .answered(route, now() - request.receivedAt(), answer.status().code());
         reply.answer(answer.status().code(), headers, body);
     }
 
+    private void logLate(Attempt attempt, long lateMillis) {
+        services.log()
+                .info(
+                        "request-late",
+                        "request",
+                        id,
+                        "route",
+                        route.name(),
+                        "service",
+                        service,
+                        "key",
+                        keySlot < 0 ? null : keySlot,
+                        "backend",
+                        attempt.target.backend().id(),
+                        "lateMillis",
+                        lateMillis,
+                        "sends",
+                        sends,
+                        "sentAfterMillis",
+                        attempt.sentAt - request.receivedAt(),
+                        "busyAtSend",
+                        attempt.busyAtSend,
+                        "serverPace",
+                        attempt.target.tracker.pace(now()));
+    }
+
     private void deadline() {
         if (finished) {
             return;
@@ -504,6 +536,7 @@
     private final class Attempt implements ExchangeListener {
         private final BackendDirectory.Target target;
         private final long sentAt;
+        private final double expectedMillis;
         /** Whether all slots of the server seemed taken when the request was sent. */
         private final boolean queued;
 
@@ -512,16 +545,21 @@
         private ConnectionPool.Exchange exchange;
         private boolean open = true;
 
-        Attempt(BackendDirectory.Target target, long sentAt) {
+        Attempt(BackendDirectory.Target target, long sentAt, double expectedMillis) {
             this.target = target;
             this.sentAt = sentAt;
-            this.busyAtSend = target.tracker.busy(sentAt);
+            this.expectedMillis = expectedMillis;
+            this.busyAtSend = Math.round(10 * target.tracker.busy(sentAt)) / 10.0;
             this.queued = busyAtSend >= target.backend().slots();
         }
 
         void giveUp() {
             end();
-            target.tracker.abandoned();
+            if (now() - sentAt > OVERDUE_FACTOR * expectedMillis) {
+                target.tracker.silent(now());
+            } else {
+                target.tracker.abandoned();
+            }
             exchange.giveUp();
         }
 
