Bar other owners after an unanswered grant, and ask a silent store again

A grant without an answer now bars other owners until its term has passed, and a new custodian assumes that its predecessor left some.

When another call fails, a new watch with a short wait takes the place of the hanging one, and watches wait 4 s instead of 10 s.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
@@ -19,7 +19,8 @@
  *
  * <ul>
  *   <li>A segment gets a new owner only after its previous owner confirmed the release, after its longest possible hold
- *       has passed, or after another life of the owner is known.
+ *       has passed, or after another life of the owner is known. A grant without an answer may take effect after the
+ *       release, so then the release is not enough.
  *   <li>The table with the new owner and its higher token is durable before the grant is sent.
  *   <li>At most one call about a segment is under way.
  * </ul>
@@ -56,9 +57,13 @@
         KeySegment segment;
         Phase phase;
         long heldUntil;
+        /** Until then a grant that got no answer may still take effect, even after a release. */
+        long lateUntil;
+
         long nextCallAt;
         boolean calling;
         boolean confirmed;
+        boolean released;
         String handover;
         BackendServerId target;
 
@@ -87,6 +92,8 @@
             Part part = new Part(segment.first(), segment.last(), Phase.OWNED);
             part.segment = segment;
             part.heldUntil = now + timing.longestHoldMillis();
+            // The previous custodian may have sent grants that got no answer.
+            part.lateUntil = part.heldUntil;
             part.nextCallAt = now;
             parts.put(part.first, part);
             next = segment.last() + 1;
@@ -140,8 +147,11 @@
 
     private void release(Part part, Map<BackendServerId, Backend> listed, long now) {
         Backend owner = lastListed.get(part.segment.owner());
-        if (now >= part.heldUntil || ended(part.segment, owner, listed)) {
-            free(part, null);
+        boolean released = part.released && now >= part.lateUntil;
+        if (released || now >= part.heldUntil || ended(part.segment, owner, listed)) {
+            free(part, part.released ? part.handover : null);
+        } else if (part.released) {
+            return;
         } else if (!part.calling && now >= part.nextCallAt && owner != null) {
             part.calling = true;
             orders.announce(part.segment, false);
@@ -163,6 +173,8 @@
         part.phase = Phase.FREE;
         part.handover = handover;
         part.calling = false;
+        part.released = false;
+        part.lateUntil = 0;
     }
 
     private void assign(Map<BackendServerId, Double> capacities, KeyLoads loads) {
@@ -271,7 +283,10 @@
                 part.phase = Phase.RELEASING;
                 part.nextCallAt = now;
             }
-            case UNKNOWN -> part.nextCallAt = now + timing.regrantMillis();
+            case UNKNOWN -> {
+                part.lateUntil = Math.max(part.lateUntil, part.heldUntil);
+                part.nextCallAt = now + timing.regrantMillis();
+            }
             default -> throw new IllegalStateException("grant result " + result);
         }
     }
@@ -289,7 +304,8 @@
         }
         part.calling = false;
         if (confirmed) {
-            free(part, handover);
+            part.released = true;
+            part.handover = handover;
         } else {
             part.nextCallAt = now + timing.rereleaseMillis();
         }
@@ -300,7 +316,8 @@
         for (KeyMove move : moves) {
             Map.Entry<Integer, Part> entry = parts.floorEntry(move.first());
             Part part = entry == null ? null : entry.getValue();
-            if (part != null && part.phase == Phase.OWNED && !part.calling && move.last() <= part.last) {
+            boolean atRest = part != null && part.phase == Phase.OWNED && !part.calling && now >= part.lateUntil;
+            if (atRest && move.last() <= part.last) {
                 Part moved = split(part, move);
                 moved.target = move.target();
                 moved.phase = Phase.RELEASING;
@@ -323,6 +340,7 @@
         Part part = new Part(first, last, Phase.OWNED);
         part.segment = whole.segment.part(first, last);
         part.heldUntil = whole.heldUntil;
+        part.lateUntil = whole.lateUntil;
         part.nextCallAt = whole.nextCallAt;
         part.handover = whole.handover;
         part.confirmed = whole.confirmed;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -20,7 +20,9 @@
 final class PlatformView {
 
     /** Wait of one watch; a shorter one costs more calls, a longer one hides a silent connection for longer. */
-    private static final long WATCH_MILLIS = 10_000;
+    private static final long WATCH_MILLIS = 4_000;
+    /** Wait of one watch while the store does not answer, so that its return is noticed. */
+    private static final long LOST_WATCH_MILLIS = 300;
     /** Pause between two watches, so that changes which come together cost one call. The tightest bound is 2 s. */
     private static final long GATHER_MILLIS = 300;
     /** First and longest pause after a call that failed. */
@@ -40,6 +42,7 @@
     private final Consumer<PlatformEvent> listener;
     private final Map<String, Long> revisions = new HashMap<>();
     private long followedRevision;
+    private long watches;
     private boolean synced;
     private boolean stopped;
     private boolean lost;
@@ -68,7 +71,12 @@
     /** Takes the end of any other call to the store, so that an outage is noticed while a watch waits. */
     void callEnded(DurableStore.Status status) {
         if (status == DurableStore.Status.UNKNOWN || status == DurableStore.Status.REFUSED) {
+            boolean noticed = !lost;
             failed("call", status);
+            if (noticed && synced) {
+                // The watch under way may hang until its wait is over; a new one takes its place.
+                watch();
+            }
         } else {
             succeeded();
         }
@@ -117,7 +125,13 @@
 
     private void watch() {
         if (!stopped) {
-            store.watch(adapter.watchedPrefix(), followedRevision, WATCH_MILLIS, this::watchDone);
+            long mine = ++watches;
+            long wait = lost ? LOST_WATCH_MILLIS : WATCH_MILLIS;
+            store.watch(adapter.watchedPrefix(), followedRevision, wait, result -> {
+                if (mine == watches) {
+                    watchDone(result);
+                }
+            });
         }
     }
 
