--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -10,9 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import com.google.protobuf.ByteString;
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -25,15 +23,12 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import org.jackdawslip.BackendServerId;
 import org.jackdawslip.ErrorCode;
-import org.jackdawslip.FencingToken;
 import org.jackdawslip.InstanceId;
 import org.jackdawslip.JackdawslipException;
 import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.keyspace.KeyNotice;
-import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.time.MonotonicClock;
 
@@ -67,22 +62,6 @@
     private static final int FIELD_KEY = 3;
     private static final int FIELD_COMPLETE = 4;
     private static final int FIELD_NOTICE = 5;
-    private static final int NOTICE_SERVICE = 1;
-    private static final int NOTICE_FIRST = 2;
-    private static final int NOTICE_LAST = 3;
-    private static final int NOTICE_OWNER = 4;
-    private static final int NOTICE_STARTED = 5;
-    private static final int NOTICE_TOKEN = 6;
-    private static final int NOTICE_GRANTED = 7;
-    private static final int ENTRY_ID = 1;
-    private static final int ENTRY_IN_FLIGHT = 2;
-    private static final int ENTRY_RUNNING = 3;
-    private static final int ENTRY_WAITING = 4;
-    private static final int ENTRY_SLOTS = 5;
-    private static final int ENTRY_PACE = 6;
-    private static final int ENTRY_SPEED = 7;
-    private static final int KEY_SERVICE = 1;
-    private static final int KEY_SLOT = 2;
 
     private final Context context;
     private final InstanceId self;
@@ -95,12 +74,10 @@
     private final Map<InstanceId, Long> heardAt = new HashMap<>();
     private final Outbox near = new Outbox(NEAR_BATCH_MILLIS);
     private final Outbox far = new Outbox(FAR_BATCH_MILLIS);
-    private final List<KeyUse> keyUses = new ArrayList<>();
+    private final List<PeerMessages.KeyUse> keyUses = new ArrayList<>();
     private InstanceId custodian;
     private Channel channel;
 
-    private record KeyUse(ServiceName service, int slot) {}
-
     /**
      * Another instance. Immutable and thread-safe.
      *
@@ -210,22 +187,13 @@
         if (self.equals(custodian)) {
             listener.keyUsed(service, slot);
         } else if (custodian != null) {
-            keyUses.add(new KeyUse(service, slot));
+            keyUses.add(new PeerMessages.KeyUse(service, slot));
         }
     }
 
     /** Spreads a notice of the custodian. */
     void announce(KeyNotice notice) {
-        KeySegment segment = notice.segment();
-        byte[] bytes = encode(output -> output.writeByteArray(FIELD_NOTICE, encode(entry -> {
-            entry.writeString(NOTICE_SERVICE, notice.service().value());
-            entry.writeInt32(NOTICE_FIRST, segment.first());
-            entry.writeInt32(NOTICE_LAST, segment.last());
-            entry.writeString(NOTICE_OWNER, segment.owner().value());
-            entry.writeInt64(NOTICE_STARTED, segment.ownerStartedAtMillis());
-            entry.writeInt64(NOTICE_TOKEN, segment.token().value());
-            entry.writeBool(NOTICE_GRANTED, notice.granted());
-        })));
+        byte[] bytes = PeerMessages.encode(output -> output.writeByteArray(FIELD_NOTICE, PeerMessages.encode(notice)));
         peers.values().forEach(peer -> send(peer.address(), bytes));
     }
 
@@ -251,12 +219,12 @@
         for (int from = 0; from < targets.size() || complete && from == 0; from += MAX_ENTRIES) {
             boolean first = from == 0;
             List<BackendDirectory.Target> part = targets.subList(from, Math.min(targets.size(), from + MAX_ENTRIES));
-            byte[] bytes = encode(output -> {
+            byte[] bytes = PeerMessages.encode(output -> {
                 if (complete && first) {
                     output.writeBool(FIELD_COMPLETE, true);
                 }
                 for (BackendDirectory.Target target : part) {
-                    output.writeByteArray(FIELD_SERVER, encode(entry -> writeServer(outbox, entry, target)));
+                    output.writeByteArray(FIELD_SERVER, PeerMessages.encode(describe(outbox, target)));
                 }
             });
             peers.values().stream()
@@ -265,31 +233,22 @@
         }
     }
 
-    private static void writeServer(Outbox outbox, CodedOutputStream entry, BackendDirectory.Target target)
-            throws IOException {
-        entry.writeString(ENTRY_ID, target.backend().id().value());
-        entry.writeInt32(ENTRY_IN_FLIGHT, target.tracker.inFlight());
-        LoadReport report = outbox.reports.get(target);
-        if (report != null) {
-            entry.writeInt32(ENTRY_RUNNING, report.running());
-            entry.writeInt32(ENTRY_WAITING, report.waiting());
-            entry.writeInt32(ENTRY_SLOTS, report.slots());
-            entry.writeInt32(ENTRY_PACE, report.pacePercent());
-        }
-        Integer speed = outbox.speeds.get(target);
-        if (speed != null) {
-            entry.writeInt32(ENTRY_SPEED, speed);
-        }
+    private static PeerMessages.Server describe(Outbox outbox, BackendDirectory.Target target) {
+        return new PeerMessages.Server(
+                target.backend().id(),
+                target.tracker.inFlight(),
+                outbox.reports.get(target),
+                outbox.speeds.getOrDefault(target, 0));
     }
 
     private void sendKeys() {
         Peer to = custodian == null ? null : peers.get(custodian);
         if (to != null) {
             for (int from = 0; from < keyUses.size(); from += MAX_ENTRIES) {
-                List<KeyUse> part = keyUses.subList(from, Math.min(keyUses.size(), from + MAX_ENTRIES));
-                send(to.address(), encode(output -> {
-                    for (KeyUse use : part) {
-                        output.writeByteArray(FIELD_KEY, encode(entry -> writeKey(entry, use)));
+                List<PeerMessages.KeyUse> part = keyUses.subList(from, Math.min(keyUses.size(), from + MAX_ENTRIES));
+                send(to.address(), PeerMessages.encode(output -> {
+                    for (PeerMessages.KeyUse use : part) {
+                        output.writeByteArray(FIELD_KEY, PeerMessages.encode(use));
                     }
                 }));
             }
@@ -297,29 +256,8 @@
         keyUses.clear();
     }
 
-    private static void writeKey(CodedOutputStream entry, KeyUse use) throws IOException {
-        entry.writeString(KEY_SERVICE, use.service().value());
-        entry.writeInt32(KEY_SLOT, use.slot());
-    }
-
-    private interface Content {
-        void write(CodedOutputStream output) throws IOException;
-    }
-
-    private static byte[] encode(Content content) {
-        ByteString.Output bytes = ByteString.newOutput(128);
-        CodedOutputStream output = CodedOutputStream.newInstance(bytes);
-        try {
-            content.write(output);
-            output.flush();
-        } catch (IOException e) {
-            throw new JackdawslipException(ErrorCode.INTERNAL, "encoding in memory failed", e);
-        }
-        return bytes.toByteString().toByteArray();
-    }
-
     private void send(InetSocketAddress to, byte[] content) {
-        byte[] sender = encode(output -> output.writeString(FIELD_SENDER, self.value()));
+        byte[] sender = PeerMessages.encode(output -> output.writeString(FIELD_SENDER, self.value()));
         channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(sender, content), to), channel.voidPromise());
     }
 
@@ -352,76 +290,29 @@
                         input.readBool();
                         directory.forgetPeer(sender);
                     }
-                    case FIELD_SERVER -> readServer(sender, CodedInputStream.newInstance(input.readByteArray()));
-                    case FIELD_NOTICE -> readNotice(CodedInputStream.newInstance(input.readByteArray()));
-                    case FIELD_KEY -> readKey(CodedInputStream.newInstance(input.readByteArray()));
+                    case FIELD_SERVER -> readServer(sender, PeerMessages.server(input.readByteArray()));
+                    case FIELD_NOTICE -> listener.noticed(PeerMessages.notice(input.readByteArray()));
+                    case FIELD_KEY -> {
+                        PeerMessages.KeyUse use = PeerMessages.keyUse(input.readByteArray());
+                        listener.keyUsed(use.service(), use.slot());
+                    }
                     default -> input.skipField(tag);
                 }
             }
         }
 
-        private void readServer(InstanceId sender, CodedInputStream input) throws IOException {
-            String id = "";
-            int[] numbers = new int[ENTRY_SPEED + 1];
-            for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
-                int field = WireFormat.getTagFieldNumber(tag);
-                if (field == ENTRY_ID) {
-                    id = input.readString();
-                } else if (field <= ENTRY_SPEED) {
-                    numbers[field] = input.readInt32();
-                } else {
-                    input.skipField(tag);
-                }
-            }
-            BackendDirectory.Target target = directory.find(new BackendServerId(id));
+        private void readServer(InstanceId sender, PeerMessages.Server server) {
+            BackendDirectory.Target target = directory.find(server.id());
             if (target == null || sender == null) {
                 return;
             }
-            target.tracker.peerInFlight(sender, numbers[ENTRY_IN_FLIGHT]);
-            if (numbers[ENTRY_SLOTS] > 0) {
-                LoadReport report = new LoadReport(
-                        numbers[ENTRY_RUNNING], numbers[ENTRY_WAITING], numbers[ENTRY_SLOTS], numbers[ENTRY_PACE]);
-                target.tracker.report(report, clock.millis(), NEAR_BATCH_MILLIS);
-            }
-            if (numbers[ENTRY_SPEED] > 0) {
-                target.tracker.speedSample(numbers[ENTRY_SPEED] / SPEED_SCALE);
-            }
-        }
-
-        private void readNotice(CodedInputStream input) throws IOException {
-            String service = "";
-            String owner = "";
-            long[] numbers = new long[NOTICE_GRANTED + 1];
-            for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
-                int field = WireFormat.getTagFieldNumber(tag);
-                switch (field) {
-                    case NOTICE_SERVICE -> service = input.readString();
-                    case NOTICE_OWNER -> owner = input.readString();
-                    case NOTICE_FIRST, NOTICE_LAST, NOTICE_STARTED, NOTICE_TOKEN, NOTICE_GRANTED -> numbers[field] =
-                            input.readInt64();
-                    default -> input.skipField(tag);
-                }
+            target.tracker.peerInFlight(sender, server.inFlight());
+            if (server.report() != null) {
+                target.tracker.report(server.report(), clock.millis(), NEAR_BATCH_MILLIS);
             }
-            KeySegment segment = new KeySegment(
-                    (int) numbers[NOTICE_FIRST],
-                    (int) numbers[NOTICE_LAST],
-                    new BackendServerId(owner),
-                    numbers[NOTICE_STARTED],
-                    new FencingToken(numbers[NOTICE_TOKEN]));
-            listener.noticed(new KeyNotice(new ServiceName(service), segment, numbers[NOTICE_GRANTED] != 0));
-        }
-
-        private void readKey(CodedInputStream input) throws IOException {
-            String service = "";
-            int slot = 0;
-            for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
-                switch (WireFormat.getTagFieldNumber(tag)) {
-                    case KEY_SERVICE -> service = input.readString();
-                    case KEY_SLOT -> slot = input.readInt32();
-                    default -> input.skipField(tag);
-                }
+            if (server.speedPercent() > 0) {
+                target.tracker.speedSample(server.speedPercent() / SPEED_SCALE);
             }
-            listener.keyUsed(new ServiceName(service), slot & 0xFFFF);
         }
     }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -14,14 +13,12 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
-import org.jackdawslip.BackendServerId;
 import org.jackdawslip.ErrorCode;
 import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.balance.BackendTracker;
 import org.jackdawslip.internal.balance.LatencyEstimate;
 import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.balance.RetryBudget;
-import org.jackdawslip.internal.balance.WarmupPacer;
 import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.traffic.HostRoute;
 import org.jackdawslip.internal.traffic.RoutingConfig;
@@ -57,8 +54,6 @@
 
     /** The pace of a machine without busy neighbours, in percent. */
     private static final double USUAL_PACE = 100;
-    /** Time after which a request goes again to an owner that denied to be it; its grant may have been on the way. */
-    private static final long SAME_OWNER_MILLIS = 60;
     /** Sends to owners that denied to be it. */
     private static final int MAX_DENIALS = 4;
 
@@ -69,22 +64,19 @@
     private final CallerRequestData request;
     private final Reply reply;
     private final String id;
+    private final RequestRecords records;
     private final List<Attempt> open = new ArrayList<>();
-    private final Set<BackendServerId> tried = new HashSet<>();
     private HostRoute route;
     private ServiceName service;
-    private ServiceConfig serviceConfig;
+    private ServerChoice choice;
     private long deadlineAt;
-    private int keySlot = -1;
+    private int keySlot = ServerChoice.NO_KEY;
     private Attempt lastAttempt;
     private int sends;
     private int mayHaveRun;
     private int refusals;
     private int connectFailures;
     private long waitingForOwnerSince = -1;
-    private KeySegment lastSegment;
-    private KeySegment deniedSegment;
-    private long deniedAt;
     private boolean finished;
     private boolean offered;
     private ScheduledFuture<?> deadlineTimer;
@@ -96,6 +88,7 @@
         this.request = request;
         this.reply = reply;
         this.id = request.headers().get(services.adapter().headers().requestId(), "");
+        this.records = new RequestRecords(services.log(), id);
     }
 
     void start() {
@@ -110,7 +103,7 @@
             return;
         }
         service = services.routing().serviceFor(route);
-        serviceConfig = config.service(service);
+        ServiceConfig serviceConfig = config.service(service);
         if (serviceConfig == null) {
             refuse(ErrorCode.NO_BACKEND_SERVER, "the configuration does not describe the service");
             return;
@@ -127,6 +120,8 @@
             keySlot = slot.intValue();
             services.peers().keyUsed(service, keySlot);
         }
+        records.about(route, service, keySlot);
+        choice = new ServerChoice(services, route, serviceConfig, keySlot);
         services.routing().budget(service).request(now());
         deadlineTimer = schedule(this::deadline, deadlineAt - now());
         next();
@@ -146,7 +141,7 @@
         if (finished) {
             return;
         }
-        BackendTracker server = keySlot >= 0 ? owner() : pick();
+        BackendTracker server = choice.next();
         long now = now();
         if (server == null) {
             if (keySlot >= 0 && mayWaitForOwner(now)) {
@@ -172,74 +167,16 @@
         return now - waitingForOwnerSince < limit;
     }
 
-    private BackendTracker owner() {
-        KeySegment segment = services.routing().owners(service).find(keySlot, now());
-        BackendDirectory.Target target =
-                segment == null ? null : services.directory().find(segment.owner());
-        if (target == null
-                || target.backend().startedAtMillis() != segment.ownerStartedAtMillis()
-                || !services.directory().admits(target.backend())) {
-            return null;
-        }
-        long now = now();
-        if (segment.equals(deniedSegment) && now < deniedAt + SAME_OWNER_MILLIS) {
-            return null;
-        }
-        lastSegment = segment;
-        BackendTracker tracker = target.tracker;
-        return tracker.cold(now) && !tracker.pacer().mayAsk(now) ? null : tracker;
-    }
-
-    private BackendTracker pick() {
-        long now = now();
-        double usual = latency().millis();
-        BackendTracker found = services.balancer()
-                .choose(
-                        services.directory().trackers(service),
-                        server -> !server.paused(now) && takes(server, now),
-                        usual,
-                        route.targetLatencyMillis(),
-                        now);
-        if (found != null) {
-            return found;
-        }
-        return services.balancer()
-                .choose(
-                        services.directory().trackers(service),
-                        server -> takes(server, now),
-                        usual,
-                        route.targetLatencyMillis(),
-                        now);
-    }
-
-    private boolean takes(BackendTracker server, long now) {
-        return services.directory().admits(server.backend())
-                && !tried.contains(server.backend().id())
-                && (!server.cold(now) || warms(server, now));
-    }
-
-    private boolean warms(BackendTracker server, long now) {
-        return server.pacer().mayAsk(now)
-                && WarmupPacer.chosen(
-                        server.backend().id(),
-                        services.peers().self(),
-                        services.routing().instances());
-    }
-
     private LatencyEstimate latency() {
-        return services.routing().latency(route, service);
+        return choice.latency();
     }
 
     private void send(BackendTracker server, double expectedMillis) {
         long now = now();
-        if (server.cold(now)) {
-            int senders = keySlot >= 0 ? services.routing().instances().size() : WarmupPacer.SENDERS;
-            server.pacer().trySend(now, serviceConfig.warmupRequestsPerSecond(), senders);
-        }
+        choice.sent(server, now);
         Attempt attempt = new Attempt(services.directory().target(server), now, expectedMillis);
         lastAttempt = attempt;
         sends++;
-        tried.add(server.backend().id());
         open.add(attempt);
         mayHaveRun++;
         server.sent();
@@ -261,7 +198,7 @@
         if (finished || open.isEmpty() || mayHaveRun >= route.maxAttempts()) {
             return;
         }
-        BackendTracker server = pick();
+        BackendTracker server = choice.next();
         long now = now();
         if (server == null || server.busy(now) >= server.backend().slots()) {
             return;
@@ -283,25 +220,10 @@
     }
 
     private void retry(String cause, Attempt failed) {
-        services.log()
-                .info(
-                        "request-sent-again",
-                        "request",
-                        id,
-                        "route",
-                        route.name(),
-                        "service",
-                        service,
-                        "backend",
-                        failed.target.backend().id(),
-                        "cause",
-                        cause,
-                        "afterMillis",
-                        now() - failed.sentAt,
-                        "budgetLeft",
-                        Math.round(services.routing()
-                                .budget(service)
-                                .remaining(now(), services.routing().instances().size())));
+        double left = services.routing()
+                .budget(service)
+                .remaining(now(), services.routing().instances().size());
+        records.sentAgain(failed.record(), cause, now() - failed.sentAt, left);
         services.metrics().count("retry", cause);
         next();
     }
@@ -314,15 +236,11 @@
         mayHaveRun--;
         refusals++;
         boolean misdirected = status == STATUS_MISDIRECTED;
-        if (keySlot >= 0) {
-            tried.remove(attempt.target.backend().id());
-        }
         if (!open.isEmpty()) {
             return;
         }
         if (keySlot >= 0 && misdirected && refusals < MAX_DENIALS && tryRetry()) {
-            deniedSegment = lastSegment;
-            deniedAt = now();
+            choice.denied();
             retry("not the owner", attempt);
         } else if (attemptsLeft() && tryRetry()) {
             if (keySlot >= 0) {
@@ -339,9 +257,6 @@
         if (!failure.mayHaveRun()) {
             mayHaveRun--;
             connectFailures++;
-            if (keySlot >= 0) {
-                tried.remove(attempt.target.backend().id());
-            }
             if (!open.isEmpty()) {
                 return;
             }
@@ -357,9 +272,6 @@
         if (!open.isEmpty()) {
             return;
         }
-        if (keySlot >= 0) {
-            tried.remove(attempt.target.backend().id());
-        }
         if (route.kind().repeatable() && attemptsLeft() && tryRetry()) {
             retry(failure.name().toLowerCase(Locale.ROOT), attempt);
         } else {
@@ -388,39 +300,13 @@
         finish();
         long late = now() - request.receivedAt() - route.targetLatencyMillis();
         if (late > 0) {
-            logLate(attempt, late);
+            records.late(attempt.record(), late, attempt.target.tracker.pace(now()));
         }
         services.metrics()
                 .answered(route, now() - request.receivedAt(), answer.status().code());
         reply.answer(answer.status().code(), headers, body);
     }
 
-    private void logLate(Attempt attempt, long lateMillis) {
-        services.log()
-                .info(
-                        "request-late",
-                        "request",
-                        id,
-                        "route",
-                        route.name(),
-                        "service",
-                        service,
-                        "key",
-                        keySlot < 0 ? null : keySlot,
-                        "backend",
-                        attempt.target.backend().id(),
-                        "lateMillis",
-                        lateMillis,
-                        "sends",
-                        sends,
-                        "sentAfterMillis",
-                        attempt.sentAt - request.receivedAt(),
-                        "busyAtSend",
-                        attempt.busyAtSend,
-                        "serverPace",
-                        attempt.target.tracker.pace(now()));
-    }
-
     private void deadline() {
         if (finished) {
             return;
@@ -444,37 +330,8 @@
 
     private void finishWith(int status, ErrorCode code, String reason) {
         finish();
-        services.log()
-                .info(
-                        "request-failed",
-                        "request",
-                        id,
-                        "route",
-                        route == null ? null : route.name(),
-                        "service",
-                        service,
-                        "status",
-                        status,
-                        "code",
-                        code,
-                        "reason",
-                        reason,
-                        "outcome",
-                        code.outcome().text(),
-                        "key",
-                        keySlot < 0 ? null : keySlot,
-                        "sends",
-                        sends,
-                        "backend",
-                        lastAttempt == null
-                                ? null
-                                : lastAttempt.target.backend().id(),
-                        "sentAfterMillis",
-                        lastAttempt == null ? null : lastAttempt.sentAt - request.receivedAt(),
-                        "busyAtSend",
-                        lastAttempt == null ? null : lastAttempt.busyAtSend,
-                        "afterMillis",
-                        now() - request.receivedAt());
+        RequestRecords.Send last = lastAttempt == null ? RequestRecords.Send.NONE : lastAttempt.record();
+        records.failed(last, status, code, reason, sends, now() - request.receivedAt());
         services.metrics().refused(code);
         if (route != null) {
             services.metrics().answered(route, now() - request.receivedAt(), status);
@@ -493,7 +350,7 @@
     /** The caller has left: the work of idempotent requests ends. */
     void callerLeft() {
         if (!finished) {
-            services.log().info("request-caller-left", "request", id, "afterMillis", now() - request.receivedAt());
+            records.callerLeft(now() - request.receivedAt());
             if (route == null || route.kind().repeatable()) {
                 finish();
             } else {
@@ -553,6 +410,10 @@
             this.queued = busyAtSend >= target.backend().slots();
         }
 
+        RequestRecords.Send record() {
+            return new RequestRecords.Send(target.backend().id(), sentAt - request.receivedAt(), busyAtSend);
+        }
+
         void giveUp() {
             end();
             if (now() - sentAt > OVERDUE_FACTOR * expectedMillis) {
@@ -574,15 +435,7 @@
             HeaderNames names = services.adapter().headers();
             String echoed = answer.headers().get(names.requestId());
             if (echoed != null && !echoed.equals(id)) {
-                services.log()
-                        .warn(
-                                "answer-of-other-request",
-                                "request",
-                                id,
-                                "backend",
-                                target.backend().id(),
-                                "got",
-                                echoed);
+                records.otherAnswer(record(), echoed);
                 return false;
             }
             end();
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
@@ -0,0 +1,122 @@
+package org.jackdawslip.internal.gateway;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.jackdawslip.BackendServerId;
+import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.balance.BackendTracker;
+import org.jackdawslip.internal.balance.LatencyEstimate;
+import org.jackdawslip.internal.balance.WarmupPacer;
+import org.jackdawslip.internal.keyspace.KeySegment;
+import org.jackdawslip.internal.traffic.HostRoute;
+import org.jackdawslip.internal.traffic.ServiceConfig;
+
+/**
+ * Finds the backend servers for one request: the owner of its key, or the best server that was not tried yet.
+ *
+ * <p>Confined to the event loop.
+ */
+final class ServerChoice {
+
+    /** The key slot of a request to a service without keys. */
+    static final int NO_KEY = -1;
+    /** Time after which a request goes again to an owner that denied to be it; its grant may have been on the way. */
+    private static final long SAME_OWNER_MILLIS = 60;
+
+    private final Services services;
+    private final HostRoute route;
+    private final ServiceConfig service;
+    private final int keySlot;
+    private final Set<BackendServerId> tried = new HashSet<>();
+    private KeySegment lastSegment;
+    private KeySegment deniedSegment;
+    private long deniedAt;
+
+    ServerChoice(Services services, HostRoute route, ServiceConfig service, int keySlot) {
+        this.services = services;
+        this.route = route;
+        this.service = service;
+        this.keySlot = keySlot;
+    }
+
+    boolean keyed() {
+        return keySlot != NO_KEY;
+    }
+
+    ServiceName service() {
+        return service.name();
+    }
+
+    LatencyEstimate latency() {
+        return services.routing().latency(route, service.name());
+    }
+
+    /** Returns the server to send to now, or null if there is none. */
+    BackendTracker next() {
+        return keyed() ? owner() : pick();
+    }
+
+    /** Takes the word that the request is sent to the server. */
+    void sent(BackendTracker server, long now) {
+        tried.add(server.backend().id());
+        if (server.cold(now)) {
+            int senders = keyed() ? services.routing().instances().size() : WarmupPacer.SENDERS;
+            server.pacer().trySend(now, service.warmupRequestsPerSecond(), senders);
+        }
+    }
+
+    /** Takes the word that the last server denied to own the key. */
+    void denied() {
+        deniedSegment = lastSegment;
+        deniedAt = services.clock().millis();
+    }
+
+    private BackendTracker owner() {
+        long now = services.clock().millis();
+        KeySegment segment = services.routing().owners(service.name()).find(keySlot, now);
+        BackendDirectory.Target target =
+                segment == null ? null : services.directory().find(segment.owner());
+        if (target == null
+                || target.backend().startedAtMillis() != segment.ownerStartedAtMillis()
+                || !services.directory().admits(target.backend())
+                || segment.equals(deniedSegment) && now < deniedAt + SAME_OWNER_MILLIS) {
+            return null;
+        }
+        lastSegment = segment;
+        BackendTracker tracker = target.tracker;
+        return tracker.cold(now) && !tracker.pacer().mayAsk(now) ? null : tracker;
+    }
+
+    /** Chooses among the servers that were not tried; one that could not be reached is used only if no other is. */
+    private BackendTracker pick() {
+        long now = services.clock().millis();
+        BackendTracker found = choose(server -> !server.paused(now) && takes(server, now), now);
+        return found != null ? found : choose(server -> takes(server, now), now);
+    }
+
+    private BackendTracker choose(Predicate<BackendTracker> admitted, long now) {
+        return services.balancer()
+                .choose(
+                        services.directory().trackers(service.name()),
+                        admitted,
+                        latency().millis(),
+                        route.targetLatencyMillis(),
+                        now);
+    }
+
+    private boolean takes(BackendTracker server, long now) {
+        return services.directory().admits(server.backend())
+                && !tried.contains(server.backend().id())
+                && (!server.cold(now) || warms(server, now));
+    }
+
+    private boolean warms(BackendTracker server, long now) {
+        return server.pacer().mayAsk(now)
+                && WarmupPacer.chosen(
+                        server.backend().id(),
+                        services.peers().self(),
+                        services.routing().instances());
+    }
+}
