--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/Backend.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/Backend.java
@@ -8,7 +8,7 @@
  * One life of a backend server as discovery lists it. Immutable and thread-safe.
  *
  * @param id the identifier; a restarted server may keep it
- * @param startedAtMillis the start of this life in milliseconds since the epoch; tells lives of one id apart
+ * @param startedAtMillis the start of this life in milliseconds since the epoch; distinguishes lives of one id
  * @param service the service that it runs
  * @param host the IP address
  * @param port the port
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyNotice.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyNotice.java
@@ -3,7 +3,7 @@
 import org.jackdawslip.ServiceName;
 
 /**
- * Word of a move that is under way, ahead of the durable table. Immutable and thread-safe.
+ * Announces a move that is under way, before the durable table says so. Immutable and thread-safe.
  *
  * @param service the service
  * @param segment the slots with their owner and token
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyOrders.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyOrders.java
@@ -18,7 +18,7 @@
     /** Takes a segment back from its owner; answered by {@link KeyCustodian#released}. */
     void release(Backend server, KeySegment segment);
 
-    /** Spreads the word that a segment is being given up, or that its new owner has it. No answer. */
+    /** Announces that a segment is being released, or that its new owner has it. No answer. */
     void announce(KeySegment segment, boolean granted);
 
     /** Makes a table durable; answered by {@link KeyCustodian#saved}. */
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -124,10 +124,6 @@
         }
     }
 
-    Set<String> entries() {
-        return Set.copyOf(byEntry.keySet());
-    }
-
     void takenOut(FailureDomainId domain, boolean out) {
         boolean changed = out ? takenOut.add(domain) : takenOut.remove(domain);
         if (!changed) {
@@ -145,10 +141,6 @@
         }
     }
 
-    Set<FailureDomainId> takenOut() {
-        return Set.copyOf(takenOut);
-    }
-
     /** Returns whether new requests may be sent to the server. */
     boolean admits(Backend backend) {
         return !backend.draining() && !takenOut.contains(backend.domain());
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -36,7 +36,6 @@
     private final ArrayDeque<HttpConnection> idle = new ArrayDeque<>();
     private final Set<HttpConnection> open = new HashSet<>();
     private int limit;
-    private long opened;
 
     ConnectionPool(EventLoopGroup loop, MonotonicClock clock, String host, int port, int limit) {
         this.loop = loop;
@@ -53,11 +52,6 @@
         return clock.millis();
     }
 
-    /** Returns how many connections were opened so far. */
-    long opened() {
-        return opened;
-    }
-
     /**
      * Sends a request on an idle connection or a new one. The pool takes over the reference to the request.
      *
@@ -91,7 +85,6 @@
         HttpConnection connection = new HttpConnection(this);
         exchange.connection = connection;
         open.add(connection);
-        opened++;
         ChannelFuture connecting = bootstrap(connection).connect(address);
         connection.opened(connecting.channel());
         connecting.addListener(done -> {
@@ -166,7 +159,7 @@
         private HttpConnection connection;
         private boolean givenUp;
 
-        /** Gives the exchange up: its connection is closed and its listener hears nothing more. */
+        /** Aborts the exchange: its connection is closed and its listener is not called any more. */
         void giveUp() {
             givenUp = true;
             if (connection != null) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeListener.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeListener.java
@@ -2,7 +2,7 @@
 
 import io.netty.handler.codec.http.FullHttpResponse;
 
-/** Hears how one exchange with a server ended. Called once on the event loop, except where stated. */
+/** Receives the result of one exchange with a server. Called once on the event loop, except where stated. */
 interface ExchangeListener {
 
     /**
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -191,7 +191,7 @@
         directory.instances(instances.size());
     }
 
-    /** Takes the word that the settings file was read again. */
+    /** Logs the result of reading the settings file again. */
     public void reloaded(boolean changed, String problem) {
         loop.execute(() -> {
             if (problem == null) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
@@ -62,7 +62,7 @@
      *
      * @param address host and port, separated by a colon
      * @param body the JSON body, or null
-     * @param whenDone hears the answer, or one with status 0 if there is none in time
+     * @param whenDone receives the answer, or one with status 0 if there is none in time
      */
     public void call(
             String address, HttpMethod method, String uri, String body, long timeoutMillis, Consumer<Answer> whenDone) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -62,7 +62,7 @@
         channel.writeAndFlush(request, channel.voidPromise());
     }
 
-    /** Gives up the open exchange, if any, and closes the connection. Its listener hears nothing. */
+    /** Aborts the open exchange, if any, and closes the connection. Its listener is not called. */
     void abort() {
         listener = null;
         close();
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/LeaseGuard.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/LeaseGuard.java
@@ -4,7 +4,7 @@
 import org.jackdawslip.internal.time.WallClock;
 
 /**
- * Tells whether a lease of this instance is certainly still valid.
+ * Decides whether a lease of this instance is certainly still valid.
  *
  * <p>The term counts from before the call that made or renewed it. The monotonic clock does not count the time for
  * which the machine was suspended, so a jump between it and the time of day ends the validity until the next renewal.
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberRecords.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberRecords.java
@@ -28,7 +28,7 @@
     private static final long RENEW_MILLIS = 2_500;
     private static final long RETRY_MILLIS = 500;
 
-    /** Hears of a change of the live instances. */
+    /** Is called when the set of live instances changes. */
     interface Listener {
         void changed(Map<InstanceId, PeerExchange.Peer> live);
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -33,8 +33,8 @@
 import org.jackdawslip.internal.time.MonotonicClock;
 
 /**
- * Tells the other instances how many requests this one has in flight at each backend server and what the servers
- * reported, and tells the custodian of keys which keys were used.
+ * Reports to the other instances how many requests this one has in flight at each backend server and what the servers
+ * reported, and to the custodian of keys which keys were used.
  *
  * <p>Messages are single datagrams in the protobuf wire format; each states absolute values, so a lost or repeated one
  * does no harm. Nothing that must hold depends on them. Confined to the event loop.
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -68,7 +68,7 @@
         stopped = true;
     }
 
-    /** Takes the end of any other call to the store, so that an outage is noticed while a watch waits. */
+    /** Records the result of any other call to the store, so that an outage is noticed while a watch waits. */
     void callEnded(DurableStore.Status status) {
         if (status == DurableStore.Status.UNKNOWN || status == DurableStore.Status.REFUSED) {
             boolean noticed = !lost;
@@ -179,7 +179,7 @@
         }
     }
 
-    /** Hands a record to the listener. A fault there must not end the following of changes. */
+    /** Passes a record to the listener. A fault there must not end the following of changes. */
     private void tell(DurableStore.Item item) {
         try {
             listener.accept(adapter.decode(item));
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
@@ -58,7 +58,7 @@
         return keyed() ? owner() : pick();
     }
 
-    /** Takes the word that the request is sent to the server. */
+    /** Records that the request is sent to the server. */
     void sent(BackendTracker server, long now) {
         tried.add(server.backend().id());
         if (server.cold(now)) {
@@ -67,7 +67,7 @@
         }
     }
 
-    /** Takes the word that the last server denied to own the key. */
+    /** Records that the last server refused the request because it does not own the key. */
     void denied() {
         deniedSegment = lastSegment;
         deniedAt = services.clock().millis();
