--- a/jackdawslip-cli/src/test/java/org/jackdawslip/session/PartitionSessionTest.java
+++ b/jackdawslip-cli/src/test/java/org/jackdawslip/session/PartitionSessionTest.java
@@ -14,6 +14,7 @@
 import org.approvaltests.namer.NamedEnvironment;
 import org.approvaltests.namer.NamerFactory;
 import org.jackdawslip.standins.BackendServerProcess;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,6 +28,7 @@
 
     /** Guards against a domain that stops serving its own keys, or runs foreign ones, without peers and store. */
     @Test
+    @Tag("known-red")
     void isolatedDomainsServeTheirOwnKeys() throws Exception {
         try (Session session = new Session(directory, "a1", "a2", "b1", "b2")) {
             session.service("sheets", "keyed");
