Relieve the other owners beside a hot key and move hot keys to faster servers

Cause: the plan of a round ended at the first owner whose load could not be divided. The owner of a hot key is the most loaded one in every round, so the others were never relieved, and a hot key stayed at a slow server.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyRebalancer.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyRebalancer.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 import org.jackdawslip.BackendServerId;
 
@@ -16,6 +17,8 @@
 
     /** An owner with more than this multiple of its fair load is relieved; counts of a few seconds vary by a fifth. */
     private static final double OVERLOADED = 1.4;
+    /** A key moves to a faster owner only if the load relative to the speed falls to this part. */
+    private static final double MIN_RELIEF = 0.8;
     /** Moves planned at once; a round follows every second or so. */
     private static final int MOVES_PER_ROUND = 6;
     /** Segments an owner may have on average before splits stop; each segment costs a renewal. */
@@ -44,28 +47,91 @@
         for (KeySegment segment : movable) {
             owned.merge(segment.owner(), loads.load(segment.first(), segment.last()), Double::sum);
         }
-        while (moves.size() < MOVES_PER_ROUND && movable.size() <= SEGMENTS_PER_OWNER * capacities.size()) {
-            BackendServerId from = extreme(owned, capacities, true);
-            BackendServerId to = extreme(owned, capacities, false);
-            double fairFrom = total * capacities.get(from) / capacity;
-            double fairTo = total * capacities.get(to) / capacity;
-            double wanted = Math.min(owned.get(from) - fairFrom, fairTo - owned.get(to));
-            if (owned.get(from) < OVERLOADED * fairFrom || wanted <= 0) {
+        Map<BackendServerId, Double> relievable = new TreeMap<>(capacities);
+        while (moves.size() < MOVES_PER_ROUND
+                && !relievable.isEmpty()
+                && movable.size() <= SEGMENTS_PER_OWNER * capacities.size()) {
+            BackendServerId from = extreme(owned, relievable, true);
+            if (owned.get(from) < OVERLOADED * total * capacities.get(from) / capacity) {
                 break;
             }
-            KeySegment piece = bestPiece(movable, from, wanted, loads);
-            if (piece == null) {
-                break;
+            KeyMove move = relief(from, movable, owned, capacities, loads);
+            if (move == null) {
+                relievable.remove(from);
+                continue;
             }
-            double moved = loads.load(piece.first(), piece.last());
+            double moved = loads.load(move.first(), move.last());
             owned.merge(from, -moved, Double::sum);
-            owned.merge(to, moved, Double::sum);
-            cut(movable, piece);
-            moves.add(new KeyMove(piece.first(), piece.last(), to));
+            owned.merge(move.target(), moved, Double::sum);
+            cut(movable, move);
+            moves.add(move);
         }
         return moves;
     }
 
+    /** Returns the best move away from an owner, or null if none helps. */
+    private static KeyMove relief(
+            BackendServerId from,
+            List<KeySegment> movable,
+            Map<BackendServerId, Double> owned,
+            Map<BackendServerId, Double> capacities,
+            KeyLoads loads) {
+        double perCapacity = loads.total()
+                / capacities.values().stream().mapToDouble(Double::doubleValue).sum();
+        BackendServerId to = extreme(owned, capacities, false);
+        double wanted = Math.min(
+                owned.get(from) - perCapacity * capacities.get(from), perCapacity * capacities.get(to) - owned.get(to));
+        KeySegment piece = wanted <= 0 ? null : bestPiece(movable, from, wanted, loads);
+        return piece != null
+                ? new KeyMove(piece.first(), piece.last(), to)
+                : hotBlockToFasterOwner(from, movable, owned, capacities, loads);
+    }
+
+    /** One key can be too busy for its owner. It cannot be divided, but a faster server serves more of its requests. */
+    private static KeyMove hotBlockToFasterOwner(
+            BackendServerId from,
+            List<KeySegment> movable,
+            Map<BackendServerId, Double> owned,
+            Map<BackendServerId, Double> capacities,
+            KeyLoads loads) {
+        int block = busiestBlock(movable, from, loads);
+        if (block < 0) {
+            return null;
+        }
+        double load = blockLoad(loads, block);
+        double best = MIN_RELIEF * owned.get(from) / capacities.get(from);
+        BackendServerId fastest = null;
+        for (Map.Entry<BackendServerId, Double> entry : capacities.entrySet()) {
+            double after = (owned.get(entry.getKey()) + load) / entry.getValue();
+            if (!entry.getKey().equals(from) && after < best) {
+                best = after;
+                fastest = entry.getKey();
+            }
+        }
+        int first = block * KeyLoads.BLOCK;
+        return fastest == null ? null : new KeyMove(first, first + KeyLoads.BLOCK - 1, fastest);
+    }
+
+    /** Returns the busiest block of the owner that lies inside one segment, or -1 if there is none. */
+    private static int busiestBlock(List<KeySegment> segments, BackendServerId owner, KeyLoads loads) {
+        int busiest = -1;
+        double most = 0;
+        for (KeySegment segment : segments) {
+            if (!segment.owner().equals(owner)) {
+                continue;
+            }
+            int firstWhole = (segment.first() + KeyLoads.BLOCK - 1) / KeyLoads.BLOCK;
+            for (int block = firstWhole; (block + 1) * KeyLoads.BLOCK - 1 <= segment.last(); block++) {
+                double load = blockLoad(loads, block);
+                if (load > most) {
+                    most = load;
+                    busiest = block;
+                }
+            }
+        }
+        return busiest;
+    }
+
     private static BackendServerId extreme(
             Map<BackendServerId, Double> owned, Map<BackendServerId, Double> capacities, boolean highest) {
         BackendServerId best = null;
@@ -133,7 +199,7 @@
         return loads.load(block * KeyLoads.BLOCK, block * KeyLoads.BLOCK + KeyLoads.BLOCK - 1);
     }
 
-    private static void cut(List<KeySegment> segments, KeySegment piece) {
+    private static void cut(List<KeySegment> segments, KeyMove piece) {
         for (int i = 0; i < segments.size(); i++) {
             KeySegment segment = segments.get(i);
             if (segment.first() <= piece.first() && piece.last() <= segment.last()) {
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyRebalancerTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyRebalancerTest.java
@@ -57,6 +57,26 @@
         assertTrue(KeyRebalancer.plan(segments, capacities, loads).isEmpty());
     }
 
+    /** A key that is too busy for a slow server is served sooner by a fast one. */
+    @Test
+    void singleHotBlockMovesToAFasterOwner() {
+        loads.add(5, 1_000, 0);
+        capacities.put(new BackendServerId("s2"), 1.6);
+        List<KeyMove> moves = KeyRebalancer.plan(segments, capacities, loads);
+        assertEquals(List.of(new KeyMove(4, 7, new BackendServerId("s2"))), moves);
+    }
+
+    /** The owner of a hot key is the most loaded one in every round and must not hide the others. */
+    @Test
+    void otherOwnersAreRelievedBesideAHotBlock() {
+        loads.add(5, 1_000, 0);
+        for (int slot = 20_000; slot < 20_800; slot++) {
+            loads.add(slot, 2, 0);
+        }
+        List<KeyMove> moves = KeyRebalancer.plan(segments, capacities, loads);
+        assertTrue(moves.stream().anyMatch(move -> move.last() >= 20_000), moves::toString);
+    }
+
     @Test
     void slowOwnerGetsLess() {
         for (int slot = 0; slot < KeySegment.SLOTS; slot += 64) {
