--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
@@ -20,13 +20,14 @@
  * <ul>
  *   <li>A segment gets a new owner only after its previous owner confirmed the release, after its longest possible hold
  *       has passed, or after another life of the owner is known. A grant without an answer may take effect after the
- *       release, so then the release is not enough.
+ *       release, so then the release is not enough unless the owner has accepted a higher token since.
  *   <li>The table with the new owner and its higher token is durable before the grant is sent.
  *   <li>At most one call about a segment is under way.
  * </ul>
  *
  * <p>A custodian that takes over renews all segments of the durable table with unchanged tokens, so owners go on
- * serving. It counts every hold as if it were renewed at that moment. Not thread-safe.
+ * serving. It counts every hold as if it were renewed at that moment, and then grants with higher tokens, which make
+ * the owners refuse what its predecessor may have left unanswered. Not thread-safe.
  */
 public final class KeyCustodian {
 
@@ -36,6 +37,13 @@
     private static final int MIN_FIRST_SEGMENTS_PER_OWNER = 4;
 
     private static final int MAX_FIRST_SEGMENTS_PER_OWNER = 16;
+    /**
+     * The first deal waits until no server has joined for this long, unless requests wait. At the start of a
+     * deployment discovery lists the servers one after another, within about three seconds.
+     */
+    private static final long SETTLE_MILLIS = 2_000;
+    /** Shortest time between two tables that are written only to give segments higher tokens. */
+    private static final long TOKEN_ROUND_MILLIS = 400;
     /** Added to the next token when a server has seen a higher one than the table knows. */
     private static final long TOKEN_STEP = 1_000;
 
@@ -62,6 +70,11 @@
 
         long nextCallAt;
         boolean calling;
+        /** The owner needs a grant with a higher token, so that it refuses those that are still on the way. */
+        boolean needsToken;
+        /** The token is higher than that of any grant without an answer. */
+        boolean bars;
+
         boolean confirmed;
         boolean released;
         String handover;
@@ -80,12 +93,16 @@
     private final Map<BackendServerId, Backend> lastListed = new HashMap<>();
     private FencingToken nextToken;
     private boolean saving;
+    private long nextTokenRoundAt;
+    private int eligible;
+    private long joinedAt;
 
     /** Takes over the durable table, or deals the keys anew if it is empty. */
     public KeyCustodian(KeyTiming timing, KeyOrders orders, KeyTable table, long now) {
         this.timing = timing;
         this.orders = orders;
         this.nextToken = table.nextToken();
+        this.joinedAt = now;
         int next = 0;
         for (KeySegment segment : table.segments()) {
             addFree(next, segment.first() - 1);
@@ -116,6 +133,10 @@
     public void tick(
             Map<BackendServerId, Backend> listed, Map<BackendServerId, Double> capacities, KeyLoads loads, long now) {
         lastListed.putAll(listed);
+        if (capacities.size() > eligible) {
+            joinedAt = now;
+        }
+        eligible = capacities.size();
         for (Part part : List.copyOf(parts.values())) {
             if (part.phase == Phase.OWNED) {
                 keep(part, listed, capacities, now);
@@ -125,7 +146,7 @@
             }
         }
         if (!saving) {
-            assign(capacities, loads);
+            assign(capacities, loads, now);
         }
     }
 
@@ -134,7 +155,7 @@
         Backend owner = listed.get(part.segment.owner());
         boolean sameLife = owner != null && owner.startedAtMillis() == part.segment.ownerStartedAtMillis();
         if (sameLife && capacities.containsKey(owner.id())) {
-            if (!part.calling && now >= part.nextCallAt) {
+            if (!part.calling && !part.needsToken && now >= part.nextCallAt) {
                 part.calling = true;
                 part.heldUntil = Math.max(part.heldUntil, now + timing.longestHoldMillis());
                 orders.grant(owner, part.segment, part.handover);
@@ -174,21 +195,35 @@
         part.handover = handover;
         part.calling = false;
         part.released = false;
+        part.needsToken = false;
         part.lateUntil = 0;
+        part.heldUntil = 0;
     }
 
-    private void assign(Map<BackendServerId, Double> capacities, KeyLoads loads) {
+    private void assign(Map<BackendServerId, Double> capacities, KeyLoads loads, long now) {
         List<Part> free =
                 parts.values().stream().filter(part -> part.phase == Phase.FREE).toList();
-        if (free.isEmpty() || capacities.isEmpty()) {
+        List<Part> barred = now < nextTokenRoundAt ? List.of() : partsToBar(capacities, now);
+        if (free.isEmpty() && barred.isEmpty() || capacities.isEmpty()) {
             return;
         }
         if (free.size() == 1 && free.get(0).first == 0 && free.get(0).last == KeySegment.SLOTS - 1) {
+            if (loads.total() == 0 && now - joinedAt < SETTLE_MILLIS) {
+                return;
+            }
             int perOwner = Math.min(MAX_FIRST_SEGMENTS_PER_OWNER, FIRST_SEGMENTS / capacities.size());
             free = deal(Math.max(MIN_FIRST_SEGMENTS_PER_OWNER, perOwner) * capacities.size());
         }
         Map<BackendServerId, Double> owned = owned(capacities, loads);
         FencingToken token = nextToken;
+        for (Part part : barred) {
+            nextTokenRoundAt = now + TOKEN_ROUND_MILLIS;
+            part.phase = Phase.SAVING;
+            part.needsToken = false;
+            part.bars = true;
+            part.segment = new KeySegment(
+                    part.first, part.last, part.segment.owner(), part.segment.ownerStartedAtMillis(), token);
+        }
         for (Part part : free) {
             boolean targetUsable = part.target != null && capacities.containsKey(part.target);
             BackendServerId owner = targetUsable ? part.target : leastLoaded(owned, capacities);
@@ -204,6 +239,14 @@
         orders.save(table());
     }
 
+    /** Returns the segments whose owners have to refuse grants that are still on the way. */
+    private List<Part> partsToBar(Map<BackendServerId, Double> capacities, long now) {
+        return parts.values().stream()
+                .filter(part -> part.phase == Phase.OWNED && part.needsToken && now >= part.nextCallAt)
+                .filter(part -> capacities.containsKey(part.segment.owner()))
+                .toList();
+    }
+
     private List<Part> deal(int count) {
         parts.clear();
         int size = KeySegment.SLOTS / count / KeyLoads.BLOCK * KeyLoads.BLOCK;
@@ -256,7 +299,7 @@
             if (part.phase == Phase.SAVING) {
                 part.phase = Phase.OWNED;
                 part.calling = false;
-                part.heldUntil = now;
+                part.heldUntil = Math.max(part.heldUntil, now);
                 part.nextCallAt = now;
             }
         }
@@ -277,6 +320,13 @@
                 }
                 part.handover = null;
                 part.nextCallAt = now + timing.renewMillis();
+                if (part.bars) {
+                    part.bars = false;
+                    part.lateUntil = 0;
+                } else if (now < part.lateUntil) {
+                    part.needsToken = true;
+                    part.nextCallAt = now;
+                }
             }
             case STALE_TOKEN -> {
                 nextToken = new FencingToken(nextToken.value() + TOKEN_STEP);
@@ -285,6 +335,8 @@
             }
             case UNKNOWN -> {
                 part.lateUntil = Math.max(part.lateUntil, part.heldUntil);
+                part.needsToken = true;
+                part.bars = false;
                 part.nextCallAt = now + timing.regrantMillis();
             }
             default -> throw new IllegalStateException("grant result " + result);
@@ -342,6 +394,8 @@
         part.heldUntil = whole.heldUntil;
         part.lateUntil = whole.lateUntil;
         part.nextCallAt = whole.nextCallAt;
+        part.needsToken = whole.needsToken;
+        part.bars = whole.bars;
         part.handover = whole.handover;
         part.confirmed = whole.confirmed;
         parts.put(first, part);
