Refuse at once what would be late or has no owner, and ask denying servers after a pause

Cause 2: requests waited up to 600 ms for owners that were gone without a word; the target of price bands is 400 ms. Cause 3: requests were admitted to queues as long as an answer before the deadline was expected, so under load every answer was late. Now a first attempt is admitted if its answer is expected on time, a repeated one until its deadline; a refusal tells when to come back.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
@@ -35,6 +35,8 @@
 
     private static final long LONGEST_PAUSE_MILLIS = 2_000;
 
+    /** Denials in a row after which the address is taken to belong to another server; one may cross a move of keys. */
+    private static final int DENIALS_BEFORE_PAUSE = 2;
     /** Overdue answers in a row before a server is avoided; one may be a long request. */
     private static final int SILENCES_BEFORE_PAUSE = 2;
 
@@ -51,6 +53,7 @@
     private long pausedUntil = Long.MIN_VALUE;
     private long pauseMillis;
     private int silences;
+    private int denials;
 
     /** Starts to track a server. */
     public BackendTracker(Backend backend, long now) {
@@ -105,6 +108,7 @@
         inFlight--;
         pauseMillis = 0;
         silences = 0;
+        denials = 0;
         failureRate += FAILURE_WEIGHT * ((success ? 0 : 1) - failureRate);
     }
 
@@ -137,6 +141,20 @@
         inFlight--;
     }
 
+    /** Counts an answer that says that another server has the address, or that the server does not own the key. */
+    public void denied(long now) {
+        inFlight--;
+        denials++;
+        if (denies()) {
+            unreachable(now);
+        }
+    }
+
+    /** Returns whether the server denied its newest requests, so that it is asked only after a pause. */
+    public boolean denies() {
+        return denials >= DENIALS_BEFORE_PAUSE;
+    }
+
     /** Counts a lost connection or a lost answer. */
     public void failed() {
         inFlight--;
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/OwnerView.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/OwnerView.java
@@ -47,18 +47,33 @@
 
     /** Returns the segment whose owner serves the slot, or null if nobody does at the moment. */
     public KeySegment find(int slot, long now) {
-        KeySegment found = table.find(slot);
-        boolean serving = found != null;
+        Noted noted = newestNotice(slot, now);
+        if (noted == null) {
+            return table.find(slot);
+        }
+        return noted.granted() ? noted.segment() : null;
+    }
+
+    /** Returns whether an owner is giving the slot up, so that another one is about to serve it. */
+    public boolean moving(int slot, long now) {
+        Noted noted = newestNotice(slot, now);
+        return noted != null && !noted.granted();
+    }
+
+    /** Returns the notice that overrides the table, or null. */
+    private Noted newestNotice(int slot, long now) {
+        KeySegment newest = table.find(slot);
+        Noted overriding = null;
         for (Noted noted : notices) {
             KeySegment segment = noted.segment();
             if (now < noted.until() && segment.first() <= slot && slot <= segment.last()) {
-                int order = found == null ? 1 : segment.token().compareTo(found.token());
+                int order = newest == null ? 1 : segment.token().compareTo(newest.token());
                 if (order > 0 || order == 0 && !noted.granted()) {
-                    found = segment;
-                    serving = noted.granted();
+                    newest = segment;
+                    overriding = noted;
                 }
             }
         }
-        return serving ? found : null;
+        return overriding;
     }
 }
--- /dev/null
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/AdmissionTest.java
@@ -0,0 +1,49 @@
+package org.jackdawslip.internal.balance;
+
+import java.util.List;
+
+import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.traffic.HostRoute;
+import org.jackdawslip.internal.traffic.RequestKind;
+import org.jackdawslip.internal.traffic.WeightedService;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Guards against queues in which every answer is late, and against refusing the same caller again and again. */
+class AdmissionTest {
+
+    private static final HostRoute ROUTE = new HostRoute(
+            "sheets",
+            "a.example",
+            "/",
+            RequestKind.IDEMPOTENT,
+            2_000,
+            1_200,
+            2,
+            1,
+            List.of(new WeightedService(new ServiceName("sheets"), 1)));
+
+    private final Admission admission = new Admission();
+
+    @Test
+    void firstAttemptHasToBeOnTime() {
+        assertEquals(1_200, admission.usefulMillis(ROUTE, 3_000));
+        assertEquals(1_200, admission.usefulMillis(ROUTE, 2_990));
+    }
+
+    @Test
+    void laterAttemptMayBeLate() {
+        admission.usefulMillis(ROUTE, 3_000);
+        assertEquals(2_000, admission.usefulMillis(ROUTE, 2_700));
+        assertEquals(900, admission.usefulMillis(ROUTE, 900));
+    }
+
+    @Test
+    void pauseGrowsWithTheQueueAndFitsIntoTheRemainingTime() {
+        assertEquals(80, Admission.pauseMillis(5, 3_000));
+        assertEquals(400, Admission.pauseMillis(400, 3_000));
+        assertEquals(900, Admission.pauseMillis(5_000, 3_000));
+        assertEquals(80, Admission.pauseMillis(5_000, 100));
+    }
+}
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/BackendTrackerTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/BackendTrackerTest.java
@@ -51,6 +51,21 @@
         assertFalse(tracker.paused(11));
     }
 
+    /** Each request to an address that another service has by now counts against the retry budget of that service. */
+    @Test
+    void serverThatDeniesRequestsIsAskedOnlyAfterAPause() {
+        tracker.sent();
+        tracker.denied(0);
+        assertFalse(tracker.denies());
+        tracker.sent();
+        tracker.denied(60);
+        assertTrue(tracker.denies() && tracker.paused(100));
+        assertFalse(tracker.paused(60 + 2_000));
+        tracker.sent();
+        tracker.answered(true);
+        assertFalse(tracker.denies());
+    }
+
     @Test
     void pausesDoubleUpToALimit() {
         for (int i = 0; i < 10; i++) {
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/OwnerViewTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/OwnerViewTest.java
@@ -7,7 +7,9 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against requests that go to an owner which is giving the key up, and against old notices that win. */
 class OwnerViewTest {
@@ -29,6 +31,17 @@
         assertEquals("s1", view.find(200, 10).owner().value());
     }
 
+    /** A request waits for an owner only while a move is under way; a slot without any owner is refused at once. */
+    @Test
+    void onlySlotsThatAreGivenUpAreMoving() {
+        view.notice(segment("s1", 100, 199, 5), false, 0);
+        assertTrue(view.moving(150, 10));
+        assertFalse(view.moving(200, 10));
+        assertFalse(view.moving(5_000, 10));
+        view.notice(segment("s2", 100, 199, 6), true, 5);
+        assertFalse(view.moving(150, 10));
+    }
+
     @Test
     void grantedSlotsBelongToTheNewOwnerBeforeTheTableArrives() {
         view.notice(segment("s1", 100, 199, 5), false, 0);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -15,6 +15,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jackdawslip.ErrorCode;
 import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.balance.Admission;
 import org.jackdawslip.internal.balance.BackendTracker;
 import org.jackdawslip.internal.balance.LatencyEstimate;
 import org.jackdawslip.internal.balance.LoadReport;
@@ -41,16 +42,16 @@
     private static final long OWNER_POLL_MILLIS = 15;
     /** Longest wait for an owner; a planned move takes about as long as one request. */
     private static final long OWNER_WAIT_MILLIS = 600;
-    /** Part of the remaining time that a request waits for an owner at most. */
-    private static final double OWNER_WAIT_SHARE = 0.4;
+    /** Part of the target latency that a request waits for an owner at most, so that its answer may be on time. */
+    private static final double OWNER_WAIT_SHARE = 0.5;
     /** A second send starts after this multiple of the expected time. */
     private static final double HEDGE_FACTOR = 2.5;
     /** A second send starts at the earliest after this share of the target latency. */
     private static final double HEDGE_TARGET_SHARE = 0.45;
     /** An answer is overdue after this multiple of the expected time. */
     private static final double OVERDUE_FACTOR = 2;
-    /** Pause that a refused caller is asked to make, in milliseconds. */
-    private static final long RETRY_AFTER_MILLIS = 80;
+    /** While a key has no owner nobody knows when it is served: the caller is asked to make the longest pause. */
+    private static final double LONGEST_PAUSE = Double.MAX_VALUE;
 
     /** The pace of a machine without busy neighbours, in percent. */
     private static final double USUAL_PACE = 100;
@@ -70,6 +71,8 @@
     private ServiceName service;
     private ServerChoice choice;
     private long deadlineAt;
+    private long usefulUntil;
+    private double pauseMillis;
     private int keySlot = ServerChoice.NO_KEY;
     private Attempt lastAttempt;
     private int sends;
@@ -109,8 +112,9 @@
             return;
         }
         Long callerMillis = number(services.adapter().headers().remainingMillis());
-        long limit = callerMillis == null ? route.timeoutMillis() : Math.min(callerMillis, route.timeoutMillis());
-        deadlineAt = request.receivedAt() + limit;
+        long patience = callerMillis == null ? route.timeoutMillis() : callerMillis;
+        deadlineAt = request.receivedAt() + Math.min(patience, route.timeoutMillis());
+        usefulUntil = request.receivedAt() + services.routing().admission().usefulMillis(route, patience);
         if (serviceConfig.keyed()) {
             Long slot = number(services.adapter().headers().key());
             if (slot == null || slot < 0 || slot >= KeySegment.SLOTS) {
@@ -144,16 +148,18 @@
         BackendTracker server = choice.next();
         long now = now();
         if (server == null) {
-            if (keySlot >= 0 && mayWaitForOwner(now)) {
+            if (keySlot >= 0 && choice.ownerExpected() && mayWaitForOwner(now)) {
                 stepTimer = schedule(this::next, OWNER_POLL_MILLIS);
             } else {
+                pauseMillis = keySlot >= 0 ? LONGEST_PAUSE : 0;
                 refuse(keySlot >= 0 ? ErrorCode.NO_OWNER : ErrorCode.NO_BACKEND_SERVER, "no server can take it");
             }
             return;
         }
         double expected = server.expectedMillis(latency().millis(), now);
-        if (now + expected > deadlineAt && server.busy(now) >= server.backend().slots()) {
-            refuse(ErrorCode.QUEUE_FULL, "expected time " + Math.round(expected) + " ms exceeds the remaining time");
+        if (now + expected > usefulUntil && server.busy(now) >= server.backend().slots()) {
+            pauseMillis = now + expected - usefulUntil;
+            refuse(ErrorCode.QUEUE_FULL, "expected time " + Math.round(expected) + " ms exceeds the useful time");
             return;
         }
         send(server, expected);
@@ -163,7 +169,7 @@
         if (waitingForOwnerSince < 0) {
             waitingForOwnerSince = now;
         }
-        long limit = Math.min(OWNER_WAIT_MILLIS, (long) (OWNER_WAIT_SHARE * (deadlineAt - waitingForOwnerSince)));
+        long limit = Math.min(OWNER_WAIT_MILLIS, (long) (OWNER_WAIT_SHARE * route.targetLatencyMillis()));
         return now - waitingForOwnerSince < limit;
     }
 
@@ -341,7 +347,8 @@
             headers.set(services.adapter().headers().requestId(), id);
         }
         if (status == 503) {
-            headers.set("Retry-After", String.format(Locale.ROOT, "%.3f", RETRY_AFTER_MILLIS / 1_000.0));
+            long pause = Admission.pauseMillis(pauseMillis, Math.max(0, deadlineAt - now()));
+            headers.set("Retry-After", String.format(Locale.ROOT, "%.3f", pause / 1_000.0));
         }
         headers.set("Content-Type", "text/plain");
         reply.answer(status, headers, (code + ": " + reason + "\n").getBytes(StandardCharsets.UTF_8));
@@ -446,9 +453,13 @@
             }
             int status = answer.status().code();
             if (answer.headers().contains(names.notExecuted()) || status == STATUS_MISDIRECTED) {
-                target.tracker.refused();
-                if (status == STATUS_MISDIRECTED && keySlot < 0) {
-                    target.tracker.unreachable(now());
+                if (status != STATUS_MISDIRECTED) {
+                    target.tracker.refused();
+                } else {
+                    target.tracker.denied(now());
+                    if (keySlot < 0) {
+                        target.tracker.unreachable(now());
+                    }
                 }
                 if (!finished) {
                     refusedByServer(this, status);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
@@ -9,6 +9,7 @@
 
 import org.jackdawslip.InstanceId;
 import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.balance.Admission;
 import org.jackdawslip.internal.balance.LatencyEstimate;
 import org.jackdawslip.internal.balance.RetryBudget;
 import org.jackdawslip.internal.keyspace.OwnerView;
@@ -36,6 +37,7 @@
     private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
     private final Map<String, LatencyEstimate> latencies = new HashMap<>();
     private final Map<ServiceName, OwnerView> owners = new HashMap<>();
+    private final Admission admission = new Admission();
     private Set<InstanceId> instances;
     private RoutingConfig config;
 
@@ -86,6 +88,10 @@
         return owners.computeIfAbsent(service, name -> new OwnerView());
     }
 
+    Admission admission() {
+        return admission;
+    }
+
     /** Returns the live instances, this one included. */
     Set<InstanceId> instances() {
         return instances;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
@@ -10,6 +10,7 @@
 import org.jackdawslip.internal.balance.LatencyEstimate;
 import org.jackdawslip.internal.balance.WarmupPacer;
 import org.jackdawslip.internal.keyspace.KeySegment;
+import org.jackdawslip.internal.keyspace.OwnerView;
 import org.jackdawslip.internal.traffic.HostRoute;
 import org.jackdawslip.internal.traffic.ServiceConfig;
 
@@ -73,6 +74,18 @@
         deniedAt = services.clock().millis();
     }
 
+    /** Returns whether an owner that cannot be used now is expected to be replaced or usable within moments. */
+    boolean ownerExpected() {
+        long now = services.clock().millis();
+        OwnerView owners = services.routing().owners(service.name());
+        KeySegment segment = owners.find(keySlot, now);
+        if (segment == null) {
+            return owners.moving(keySlot, now);
+        }
+        BackendDirectory.Target target = services.directory().find(segment.owner());
+        return target != null && !denies(target.tracker, now);
+    }
+
     private BackendTracker owner() {
         long now = services.clock().millis();
         KeySegment segment = services.routing().owners(service.name()).find(keySlot, now);
@@ -84,9 +97,17 @@
                 || segment.equals(deniedSegment) && now < deniedAt + SAME_OWNER_MILLIS) {
             return null;
         }
-        lastSegment = segment;
         BackendTracker tracker = target.tracker;
-        return tracker.cold(now) && !tracker.pacer().mayAsk(now) ? null : tracker;
+        if (denies(tracker, now) || tracker.cold(now) && !tracker.pacer().mayAsk(now)) {
+            return null;
+        }
+        lastSegment = segment;
+        return tracker;
+    }
+
+    /** Each request to an address that belongs to another server counts against the retry budget of that server. */
+    private static boolean denies(BackendTracker tracker, long now) {
+        return tracker.denies() && tracker.paused(now);
     }
 
     /** Chooses among the servers that were not tried; one that could not be reached is used only if no other is. */
