Spread the renewals of a successor and bound the datagrams to peers

The datagrams to peers grew with the square of the fleet: each change went to every peer within 40 ms. Each instance now sends at most 400 a second inside its failure domain and 30 outside. Not yet measured.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
@@ -42,6 +42,13 @@
      * deployment discovery lists the servers one after another, within about three seconds.
      */
     private static final long SETTLE_MILLIS = 2_000;
+    /**
+     * Time over which a successor spreads its first renewals. All instances may have restarted, and hundreds of calls
+     * at once delay the requests of a process that has just begun.
+     */
+    private static final long TAKEOVER_MILLIS = 700;
+    /** Part of the interval over which renewals are spread. */
+    private static final double RENEW_SPREAD = 0.25;
     /** Shortest time between two tables that are written only to give segments higher tokens. */
     private static final long TOKEN_ROUND_MILLIS = 400;
     /** Added to the next token when a server has seen a higher one than the table knows. */
@@ -74,6 +81,8 @@
         boolean needsToken;
         /** The token is higher than that of any grant without an answer. */
         boolean bars;
+        /** The newest grant was answered. */
+        boolean answered;
 
         boolean confirmed;
         boolean released;
@@ -111,7 +120,8 @@
             part.heldUntil = now + timing.longestHoldMillis();
             // The previous custodian may have sent grants that got no answer.
             part.lateUntil = part.heldUntil;
-            part.nextCallAt = now;
+            part.nextCallAt =
+                    now + TAKEOVER_MILLIS * parts.size() / table.segments().size();
             parts.put(part.first, part);
             next = segment.last() + 1;
         }
@@ -196,6 +206,7 @@
         part.calling = false;
         part.released = false;
         part.needsToken = false;
+        part.bars = false;
         part.lateUntil = 0;
         part.heldUntil = 0;
     }
@@ -239,12 +250,17 @@
         orders.save(table());
     }
 
-    /** Returns the segments whose owners have to refuse grants that are still on the way. */
+    /** Returns the segments whose owners have to refuse grants that are still on the way, once one of them is due. */
     private List<Part> partsToBar(Map<BackendServerId, Double> capacities, long now) {
-        return parts.values().stream()
-                .filter(part -> part.phase == Phase.OWNED && part.needsToken && now >= part.nextCallAt)
+        List<Part> waiting = parts.values().stream()
+                .filter(part -> part.phase == Phase.OWNED && part.needsToken)
                 .filter(part -> capacities.containsKey(part.segment.owner()))
                 .toList();
+        return waiting.stream().noneMatch(part -> now >= part.nextCallAt)
+                ? List.of()
+                : waiting.stream()
+                        .filter(part -> part.answered || now >= part.nextCallAt)
+                        .toList();
     }
 
     private List<Part> deal(int count) {
@@ -300,7 +316,9 @@
                 part.phase = Phase.OWNED;
                 part.calling = false;
                 part.heldUntil = Math.max(part.heldUntil, now);
-                part.nextCallAt = now;
+                if (!part.bars) {
+                    part.nextCallAt = now;
+                }
             }
         }
     }
@@ -319,13 +337,14 @@
                     orders.announce(segment, true);
                 }
                 part.handover = null;
-                part.nextCallAt = now + timing.renewMillis();
+                part.answered = true;
+                part.nextCallAt = now + spread(part.first);
                 if (part.bars) {
                     part.bars = false;
                     part.lateUntil = 0;
                 } else if (now < part.lateUntil) {
+                    // The grant with a higher token takes the place of the next renewal.
                     part.needsToken = true;
-                    part.nextCallAt = now;
                 }
             }
             case STALE_TOKEN -> {
@@ -337,12 +356,19 @@
                 part.lateUntil = Math.max(part.lateUntil, part.heldUntil);
                 part.needsToken = true;
                 part.bars = false;
+                part.answered = false;
                 part.nextCallAt = now + timing.regrantMillis();
             }
             default -> throw new IllegalStateException("grant result " + result);
         }
     }
 
+    /** Returns the time until the next renewal of a segment; segments that were dealt together renew apart. */
+    private long spread(int first) {
+        int hash = (first * 0x9E3779B1) >>> 24;
+        return Math.round(timing.renewMillis() * (1 - RENEW_SPREAD * hash / 256));
+    }
+
     /**
      * Takes the answer to {@link KeyOrders#release}.
      *
@@ -396,6 +422,7 @@
         part.nextCallAt = whole.nextCallAt;
         part.needsToken = whole.needsToken;
         part.bars = whole.bars;
+        part.answered = whole.answered;
         part.handover = whole.handover;
         part.confirmed = whole.confirmed;
         parts.put(first, part);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
@@ -41,9 +41,9 @@
     private static final String ROLE = "custodian";
     private static final String TABLES = "keys/";
     /** Term of the role. A successor takes over after at most this time. */
-    private static final long ROLE_MILLIS = 3_000;
+    private static final long ROLE_MILLIS = 2_500;
     /** Interval between renewals of the role: two may fail before it ends. */
-    private static final long RENEW_MILLIS = 900;
+    private static final long RENEW_MILLIS = 700;
     /** Interval between two looks at all segments. */
     private static final long TICK_MILLIS = 40;
     /** Interval between two rounds of moves. */
@@ -56,8 +56,8 @@
     private static final long CLAIM_RETRY_MILLIS = 700;
     /** Term of grants, unless the platform's limit is lower. It outlasts a takeover and short outages of the store. */
     private static final long HOLD_MILLIS = 7_000;
-    /** Interval between renewals of a grant. */
-    private static final long GRANT_RENEW_MILLIS = 1_500;
+    /** Interval between renewals of a grant; with the longest takeover after it, it stays below the term. */
+    private static final long GRANT_RENEW_MILLIS = 2_800;
     /** Pause after an order without an answer. */
     private static final long ORDER_RETRY_MILLIS = 300;
 
@@ -352,7 +352,7 @@
             long hold = Math.min(HOLD_MILLIS, bounds.longestHoldMillis());
             // A server that restarts under its id must be listed anew before it is granted anything again.
             long regrant = Math.max(ORDER_RETRY_MILLIS, 2 * bounds.heartbeatMillis());
-            return new KeyTiming(hold, Math.min(GRANT_RENEW_MILLIS, hold / 4), regrant, ORDER_RETRY_MILLIS);
+            return new KeyTiming(hold, Math.min(GRANT_RENEW_MILLIS, 2 * hold / 5), regrant, ORDER_RETRY_MILLIS);
         }
 
         private KeyLoads serviceLoads() {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -41,15 +41,19 @@
  */
 final class PeerExchange {
 
-    /** Changes within this time travel in one datagram to peers in the own failure domain. */
+    /** Shortest time for which changes are gathered into one datagram to peers in the own failure domain. */
     private static final long NEAR_BATCH_MILLIS = 8;
+    /** Datagrams a second to all of them; each costs about 30 microseconds at both ends. */
+    private static final int NEAR_DATAGRAMS_PER_SECOND = 400;
     /** The same for peers in other failure domains, where bytes are expensive and whose servers are used less. */
     private static final long FAR_BATCH_MILLIS = 40;
+
+    private static final int FAR_DATAGRAMS_PER_SECOND = 30;
     /** Interval at which all non-zero counts are repeated, because datagrams get lost. */
     private static final long REPEAT_MILLIS = 1_000;
     /** Interval at which used keys are sent. */
     private static final long KEYS_MILLIS = 300;
-    /** A silent peer's counts are dropped after this time. */
+    /** The counts of a peer are dropped after this time without any of its repeated messages. */
     private static final long SILENCE_MILLIS = 3_000;
     /** Most entries in one datagram; 40 bytes each stay below the usual frame size. */
     private static final int MAX_ENTRIES = 30;
@@ -72,8 +76,8 @@
     private final PeerListener listener;
     private final Map<InstanceId, Peer> peers = new HashMap<>();
     private final Map<InstanceId, Long> heardAt = new HashMap<>();
-    private final Outbox near = new Outbox(NEAR_BATCH_MILLIS);
-    private final Outbox far = new Outbox(FAR_BATCH_MILLIS);
+    private final Outbox near = new Outbox(NEAR_BATCH_MILLIS, NEAR_DATAGRAMS_PER_SECOND);
+    private final Outbox far = new Outbox(FAR_BATCH_MILLIS, FAR_DATAGRAMS_PER_SECOND);
     private final List<PeerMessages.KeyUse> keyUses = new ArrayList<>();
     private InstanceId custodian;
     private Channel channel;
@@ -88,21 +92,30 @@
 
     /** What the peers of one kind have not been told yet. */
     private final class Outbox {
-        final long batchMillis;
+        final long shortestBatchMillis;
+        final int datagramsPerSecond;
         final Set<BackendDirectory.Target> changed = new HashSet<>();
         final Map<BackendDirectory.Target, LoadReport> reports = new HashMap<>();
         final Map<BackendDirectory.Target, Integer> speeds = new HashMap<>();
-        boolean scheduled;
+        private List<Peer> to = List.of();
+        private boolean scheduled;
+        private long repeatedAt;
+
+        Outbox(long shortestBatchMillis, int datagramsPerSecond) {
+            this.shortestBatchMillis = shortestBatchMillis;
+            this.datagramsPerSecond = datagramsPerSecond;
+        }
 
-        Outbox(long batchMillis) {
-            this.batchMillis = batchMillis;
+        /** Returns for how long changes are gathered; the cost of this instance does not grow with its peers. */
+        private long batchMillis() {
+            return Math.max(shortestBatchMillis, 1_000L * to.size() / datagramsPerSecond);
         }
 
         void changed(BackendDirectory.Target target) {
             changed.add(target);
             if (!scheduled) {
                 scheduled = true;
-                loop.schedule(this::flush, batchMillis, TimeUnit.MILLISECONDS);
+                loop.schedule(this::flush, batchMillis(), TimeUnit.MILLISECONDS);
             }
         }
 
@@ -113,6 +126,13 @@
             reports.clear();
             speeds.clear();
         }
+
+        private void repeat(List<BackendDirectory.Target> busy, long now) {
+            if (now - repeatedAt >= 2 * batchMillis()) {
+                repeatedAt = now;
+                send(this, busy, true);
+            }
+        }
     }
 
     PeerExchange(Context context, BackendDirectory directory, PeerListener listener) {
@@ -157,6 +177,8 @@
         peers.clear();
         peers.putAll(live);
         peers.remove(self);
+        near.to = peers.values().stream().filter(Peer::near).toList();
+        far.to = peers.values().stream().filter(peer -> !peer.near()).toList();
     }
 
     void custodian(InstanceId instance) {
@@ -201,11 +223,11 @@
         List<BackendDirectory.Target> busy = directory.all().stream()
                 .filter(target -> target.tracker.inFlight() > 0)
                 .toList();
-        send(near, busy, true);
-        send(far, busy, true);
         long now = clock.millis();
+        near.repeat(busy, now);
+        far.repeat(busy, now);
         heardAt.entrySet().removeIf(entry -> {
-            boolean silent = now - entry.getValue() > SILENCE_MILLIS;
+            boolean silent = now - entry.getValue() > SILENCE_MILLIS + 2 * far.batchMillis();
             if (silent) {
                 directory.forgetPeer(entry.getKey());
                 log.info("peer-silent", "peer", entry.getKey(), "silentMillis", now - entry.getValue());
@@ -227,9 +249,7 @@
                     output.writeByteArray(FIELD_SERVER, PeerMessages.encode(describe(outbox, target)));
                 }
             });
-            peers.values().stream()
-                    .filter(peer -> peer.near() == (outbox == near))
-                    .forEach(peer -> send(peer.address(), bytes));
+            outbox.to.forEach(peer -> send(peer.address(), bytes));
         }
     }
 
