Do not reuse connections that servers drop while they are idle

A server may drop idle connections without a word. The request that is sent next is reset, and one that may run at most once cannot be sent again. A prompt loss on a reused connection now shortens the idle time that is trusted for the service.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -16,6 +16,7 @@
 import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.balance.Backend;
 import org.jackdawslip.internal.balance.BackendTracker;
+import org.jackdawslip.internal.balance.IdleLimit;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.time.MonotonicClock;
 import org.jackdawslip.internal.traffic.RoutingConfig;
@@ -59,6 +60,7 @@
     private final Map<BackendServerId, Target> byId = new HashMap<>();
     private final Map<BackendTracker, Target> byTracker = new HashMap<>();
     private final Map<ServiceName, Map<String, BackendTracker>> byService = new HashMap<>();
+    private final Map<ServiceName, IdleLimit> idleLimits = new HashMap<>();
     private final Set<FailureDomainId> takenOut = new HashSet<>();
     private int instances = 1;
     private RoutingConfig config;
@@ -85,8 +87,9 @@
         }
         removed(entry);
         BackendTracker tracker = new BackendTracker(backend, now);
-        ConnectionPool pool =
-                new ConnectionPool(loop, clock, backend.host(), backend.port(), connections(backend.service()));
+        IdleLimit idleLimit = idleLimits.computeIfAbsent(backend.service(), service -> new IdleLimit());
+        ConnectionPool pool = new ConnectionPool(
+                loop, clock, backend.host(), backend.port(), idleLimit, connections(backend.service()));
         Target target = new Target(entry, tracker, pool);
         byEntry.put(entry, target);
         byId.put(backend.id(), target);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import org.jackdawslip.internal.balance.IdleLimit;
 import org.jackdawslip.internal.time.MonotonicClock;
 
 /**
@@ -35,9 +36,11 @@
     private final InetSocketAddress address;
     private final ArrayDeque<HttpConnection> idle = new ArrayDeque<>();
     private final Set<HttpConnection> open = new HashSet<>();
+    private final IdleLimit idleLimit;
     private int limit;
 
-    ConnectionPool(EventLoopGroup loop, MonotonicClock clock, String host, int port, int limit) {
+    ConnectionPool(EventLoopGroup loop, MonotonicClock clock, String host, int port, IdleLimit idleLimit, int limit) {
+        this.idleLimit = idleLimit;
         this.loop = loop;
         this.clock = clock;
         this.address = new InetSocketAddress(host, port);
@@ -52,6 +55,10 @@
         return clock.millis();
     }
 
+    IdleLimit idleLimit() {
+        return idleLimit;
+    }
+
     /**
      * Sends a request on an idle connection or a new one. The pool takes over the reference to the request.
      *
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import org.jackdawslip.internal.balance.IdleLimit;
 import org.jackdawslip.internal.time.MonotonicClock;
 
 /**
@@ -105,6 +106,7 @@
                     clock,
                     text.substring(0, colon),
                     Integer.parseInt(text.substring(colon + 1)),
+                    new IdleLimit(),
                     connectionsPerAddress);
         });
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -23,6 +23,8 @@
     /** Idle time after which a connection is no longer used if the server announced none. */
     private static final long DEFAULT_IDLE_MILLIS = 4_000;
 
+    private static final long NEVER = -1;
+
     private final ConnectionPool pool;
     private final AnswerDecoder decoder = new AnswerDecoder(this);
     private Channel channel;
@@ -30,7 +32,9 @@
     private boolean headRequest;
     private boolean reusable = true;
     private boolean broken;
-    private long idleSince;
+    private long idleSince = NEVER;
+    private long idleMillis;
+    private long sentAt;
     private long idleLimitMillis = DEFAULT_IDLE_MILLIS;
 
     HttpConnection(ConnectionPool pool) {
@@ -59,6 +63,8 @@
     void send(FullHttpRequest request, ExchangeListener newListener) {
         listener = newListener;
         headRequest = request.method().equals(HttpMethod.HEAD);
+        sentAt = pool.now();
+        idleMillis = idleSince == NEVER ? NEVER : sentAt - idleSince;
         channel.writeAndFlush(request, channel.voidPromise());
     }
 
@@ -69,7 +75,9 @@
     }
 
     boolean usable(long now) {
-        return reusable && channel.isActive() && now - idleSince < idleLimitMillis;
+        return reusable
+                && channel.isActive()
+                && now - idleSince < Math.min(idleLimitMillis, pool.idleLimit().millis(now));
     }
 
     void close() {
@@ -148,6 +156,9 @@
         listener = null;
         close();
         if (current != null) {
+            if (idleMillis != NEVER && failure == ExchangeFailure.CONNECTION_LOST) {
+                pool.idleLimit().lost(idleMillis, pool.now() - sentAt, pool.now());
+            }
             current.failed(failure);
         }
     }
