Gather changes for longer in a large fleet, and drop counts that are old when they arrive

The pause between watches now grows with the fleet up to 900 ms. Counts in flight from other failure domains were up to two seconds old and counted as current; they are sent only where they arrive in time, and reports count with their age.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -189,6 +189,7 @@
         routing.instances(List.copyOf(live.keySet()));
         Set<InstanceId> instances = routing.instances();
         directory.instances(instances.size());
+        view.instances(instances.size());
     }
 
     /** Logs the result of reading the settings file again. */
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -47,6 +47,8 @@
     private static final int NEAR_DATAGRAMS_PER_SECOND = 400;
     /** The same for peers in other failure domains, where bytes are expensive and whose servers are used less. */
     private static final long FAR_BATCH_MILLIS = 40;
+    /** Counts in flight that are gathered for longer are wrong when they arrive; a request takes 60 ms and more. */
+    private static final long COUNTS_BATCH_MILLIS = 100;
 
     private static final int FAR_DATAGRAMS_PER_SECOND = 30;
     /** Interval at which all non-zero counts are repeated, because datagrams get lost. */
@@ -106,6 +108,10 @@
             this.datagramsPerSecond = datagramsPerSecond;
         }
 
+        private boolean tellsCounts() {
+            return batchMillis() <= COUNTS_BATCH_MILLIS;
+        }
+
         /** Returns for how long changes are gathered; the cost of this instance does not grow with its peers. */
         private long batchMillis() {
             return Math.max(shortestBatchMillis, 1_000L * to.size() / datagramsPerSecond);
@@ -121,6 +127,7 @@
 
         private void flush() {
             scheduled = false;
+            changed.removeIf(target -> !tellsCounts() && !reports.containsKey(target) && !speeds.containsKey(target));
             send(this, List.copyOf(changed), false);
             changed.clear();
             reports.clear();
@@ -130,7 +137,7 @@
         private void repeat(List<BackendDirectory.Target> busy, long now) {
             if (now - repeatedAt >= 2 * batchMillis()) {
                 repeatedAt = now;
-                send(this, busy, true);
+                send(this, tellsCounts() ? busy : List.of(), true);
             }
         }
     }
@@ -256,7 +263,7 @@
     private static PeerMessages.Server describe(Outbox outbox, BackendDirectory.Target target) {
         return new PeerMessages.Server(
                 target.backend().id(),
-                target.tracker.inFlight(),
+                outbox.tellsCounts() ? target.tracker.inFlight() : 0,
                 outbox.reports.get(target),
                 outbox.speeds.getOrDefault(target, 0));
     }
@@ -328,7 +335,9 @@
             }
             target.tracker.peerInFlight(sender, server.inFlight());
             if (server.report() != null) {
-                target.tracker.report(server.report(), clock.millis(), NEAR_BATCH_MILLIS);
+                Peer peer = peers.get(sender);
+                long ageMillis = (peer != null && peer.near() ? near : far).batchMillis();
+                target.tracker.report(server.report(), clock.millis(), ageMillis);
             }
             if (server.speedPercent() > 0) {
                 target.tracker.speedSample(server.speedPercent() / SPEED_SCALE);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -23,8 +23,15 @@
     private static final long WATCH_MILLIS = 4_000;
     /** Wait of one watch while the store does not answer, so that its return is noticed. */
     private static final long LOST_WATCH_MILLIS = 300;
-    /** Pause between two watches, so that changes which come together cost one call. The tightest bound is 2 s. */
-    private static final long GATHER_MILLIS = 300;
+    /**
+     * Pause between two watches for each instance of the fleet, so that changes which come together cost one call and
+     * the calls of a large fleet stay bounded.
+     */
+    private static final long GATHER_MILLIS_PER_INSTANCE = 12;
+
+    private static final long SHORTEST_GATHER_MILLIS = 400;
+    /** The tightest bound for a change to take effect is 2 s, and requests that were sent before count as well. */
+    private static final long LONGEST_GATHER_MILLIS = 900;
     /** First and longest pause after a call that failed. */
     private static final long FIRST_RETRY_MILLIS = 100;
 
@@ -43,6 +50,7 @@
     private final Map<String, Long> revisions = new HashMap<>();
     private long followedRevision;
     private long watches;
+    private int instances = 1;
     private boolean synced;
     private boolean stopped;
     private boolean lost;
@@ -147,7 +155,7 @@
                 }
                 result.items().forEach(this::apply);
                 followedRevision = Math.max(followedRevision, result.revision());
-                loop.schedule(this::watch, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+                loop.schedule(this::watch, gatherMillis(), TimeUnit.MILLISECONDS);
             }
             case HISTORY_GONE -> {
                 log.info("platform-history-gone", "revision", followedRevision);
@@ -160,6 +168,16 @@
         }
     }
 
+    private long gatherMillis() {
+        return Math.max(
+                SHORTEST_GATHER_MILLIS, Math.min(LONGEST_GATHER_MILLIS, GATHER_MILLIS_PER_INSTANCE * instances));
+    }
+
+    /** Takes the number of live instances. */
+    void instances(int live) {
+        instances = live;
+    }
+
     private void apply(DurableStore.Item item) {
         long known = revisions.getOrDefault(item.key(), 0L);
         if (item.revision() <= known) {
