--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyRebalancer.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyRebalancer.java
@@ -15,8 +15,8 @@
  */
 public final class KeyRebalancer {
 
-    /** An owner with more than this multiple of its fair load is relieved; counts of seconds vary by a tenth. */
-    private static final double OVERLOADED = 1.2;
+    /** An owner with more than this multiple of its fair load is relieved; counts of seconds vary by a fifth. */
+    private static final double OVERLOADED = 1.4;
     /** A key moves to a faster owner only if the load relative to the speed falls to this part. */
     private static final double MIN_RELIEF = 0.8;
     /** Moves planned at once; a round follows every second or so. */
