--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
@@ -389,8 +389,13 @@
         }
     }
 
-    /** Starts to move slots to other owners. Parts that are not at rest are left out. */
-    public void move(List<KeyMove> moves, long now) {
+    /**
+     * Starts to move slots to other owners. Parts that are not at rest are left out.
+     *
+     * @return how many moves were started
+     */
+    public int move(List<KeyMove> moves, long now) {
+        int started = 0;
         for (KeyMove move : moves) {
             Map.Entry<Integer, Part> entry = parts.floorEntry(move.first());
             Part part = entry == null ? null : entry.getValue();
@@ -400,8 +405,10 @@
                 moved.target = move.target();
                 moved.phase = Phase.RELEASING;
                 moved.nextCallAt = now;
+                started++;
             }
         }
+        return started;
     }
 
     private Part split(Part part, KeyMove move) {
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyCustodianTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyCustodianTest.java
@@ -184,7 +184,8 @@
                 .orElseThrow();
         KeyMove move = new KeyMove(segment.first() + 16, segment.first() + 47, new BackendServerId("s2"));
         owners.run(8_200);
-        owners.custodian.move(List.of(move), owners.now);
+        assertEquals(1, owners.custodian.move(List.of(move), owners.now));
+        assertEquals(0, owners.custodian.move(List.of(move), owners.now));
         owners.run(600);
         assertEquals("s2", owners.durable.find(segment.first() + 20).owner().value());
         assertEquals("s1", owners.durable.find(segment.first() + 60).owner().value());
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
@@ -384,9 +384,18 @@
                 return;
             }
             List<KeyMove> moves = KeyRebalancer.plan(custodian.ownedSegments(), capacities, serviceLoads());
+            int started = custodian.move(moves, now);
             if (!moves.isEmpty()) {
-                log.info("keys-rebalanced", "service", service, "moves", moves.size(), "first", moves.get(0));
-                custodian.move(moves, now);
+                log.info(
+                        "keys-rebalanced",
+                        "service",
+                        service,
+                        "planned",
+                        moves.size(),
+                        "started",
+                        started,
+                        "first",
+                        moves.get(0));
             }
         }
 
