--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
@@ -172,6 +172,11 @@
         return now < pausedUntil;
     }
 
+    /** Returns the length of the newest pause, in milliseconds. */
+    public long pauseMillis() {
+        return pauseMillis;
+    }
+
     /** Takes a load report that is as old as given. */
     public void report(LoadReport newest, long now, long ageMillis) {
         if (report == null || now - ageMillis >= reportAt) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRecords.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRecords.java
@@ -111,6 +111,22 @@
                 serverPace);
     }
 
+    /** The server is avoided from now on, because of what happened to this request. */
+    void avoided(Send send, String cause, long pauseMillis) {
+        log.warn(
+                "backend-avoided",
+                "request",
+                id,
+                "backend",
+                send.backend(),
+                "service",
+                service,
+                "cause",
+                cause,
+                "pauseMillis",
+                pauseMillis);
+    }
+
     void callerLeft(long afterMillis) {
         log.info("request-caller-left", "request", id, "afterMillis", afterMillis);
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -424,13 +424,21 @@
         void giveUp() {
             end();
             if (now() - sentAt > OVERDUE_FACTOR * expectedMillis) {
+                boolean before = target.tracker.paused(now());
                 target.tracker.silent(now());
+                noteAvoided(before, "answers are overdue");
             } else {
                 target.tracker.abandoned();
             }
             exchange.giveUp();
         }
 
+        private void noteAvoided(boolean before, String cause) {
+            if (!before && target.tracker.paused(now())) {
+                records.avoided(record(), cause, target.tracker.pauseMillis());
+            }
+        }
+
         private void end() {
             open = false;
             RequestRun.this.open.remove(this);
@@ -453,13 +461,15 @@
             }
             int status = answer.status().code();
             if (answer.headers().contains(names.notExecuted()) || status == STATUS_MISDIRECTED) {
-                if (status != STATUS_MISDIRECTED) {
-                    target.tracker.refused();
-                } else {
+                if (status == STATUS_MISDIRECTED) {
+                    boolean before = target.tracker.paused(now());
                     target.tracker.denied(now());
                     if (keySlot < 0) {
                         target.tracker.unreachable(now());
                     }
+                    noteAvoided(before, "it denies requests");
+                } else {
+                    target.tracker.refused();
                 }
                 if (!finished) {
                     refusedByServer(this, status);
@@ -499,7 +509,9 @@
             } else {
                 target.tracker.abandoned();
                 if (failure == ExchangeFailure.NOT_CONNECTED) {
+                    boolean before = target.tracker.paused(now());
                     target.tracker.unreachable(now());
+                    noteAvoided(before, "it cannot be reached");
                 }
             }
             if (!finished) {
