Count the term of a grant from its send, and drop grants that are no longer due

While orders were left unanswered, grants waited up to 2.4 s for a lane, and the custodian had counted their term from its decision. It gave the keys to another owner while the first still held them. In the log all segments were freed 7.84 s after the decision, though their grants were sent 0.6, 1.2 and 1.8 s later. A waiting grant could also be sent after its server had another life. Ruled out: late grants after a release and higher tokens (the segments waited for their term), the proxy (it delivered bytes of reset connections at first, and the fault stayed after that was mended). The property over random histories fails without the change once orders wait, and termOfAGrantThatWaitedCountsFromItsSend fails first.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCustodian.java
@@ -323,6 +323,19 @@
         }
     }
 
+    /**
+     * Decides whether a grant is still to be sent. It may have waited since {@link KeyOrders#grant}, and its term
+     * counts from its arrival at the server.
+     */
+    public boolean sends(KeySegment segment, long now) {
+        Part part = parts.get(segment.first());
+        if (part == null || !segment.equals(part.segment) || part.phase != Phase.OWNED) {
+            return false;
+        }
+        part.heldUntil = Math.max(part.heldUntil, now + timing.longestHoldMillis());
+        return true;
+    }
+
     /** Takes the answer to {@link KeyOrders#grant}. */
     public void granted(KeySegment segment, GrantResult result, long now) {
         Part part = parts.get(segment.first());
@@ -359,6 +372,7 @@
                 part.answered = false;
                 part.nextCallAt = now + timing.regrantMillis();
             }
+            case NOT_SENT -> part.nextCallAt = now;
             default -> throw new IllegalStateException("grant result " + result);
         }
     }
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
@@ -36,6 +36,13 @@
 
     private record Hold(KeySegment segment, long until) {}
 
+    /** A grant that waits until the server can be called. */
+    private record Queued(Backend backend, KeySegment segment, String handover, long sendAt) {}
+
+    private final List<Queued> queued = new ArrayList<>();
+    /** Time for which grants wait before they are sent. */
+    long queueMillis;
+
     /** A grant that was left unanswered. */
     private record Late(Server server, KeySegment segment, long applyAt, long until) {}
 
@@ -80,6 +87,7 @@
 
     void takeOver() {
         answers.clear();
+        queued.clear();
         custodian = new KeyCustodian(TIMING, this, durable, now);
     }
 
@@ -104,6 +112,7 @@
             List<Runnable> due = List.copyOf(answers);
             answers.clear();
             due.forEach(Runnable::run);
+            sendQueued();
             applyLate();
             checkSoleOwners();
         }
@@ -148,6 +157,27 @@
 
     @Override
     public void grant(Backend backend, KeySegment segment, String handover) {
+        if (queueMillis > 0) {
+            queued.add(new Queued(backend, segment, handover, now + queueMillis));
+        } else {
+            send(backend, segment, handover);
+        }
+    }
+
+    private void sendQueued() {
+        for (Queued order : List.copyOf(queued)) {
+            if (now >= order.sendAt()) {
+                queued.remove(order);
+                send(order.backend(), order.segment(), order.handover());
+            }
+        }
+    }
+
+    private void send(Backend backend, KeySegment segment, String handover) {
+        if (!custodian.sends(segment, now)) {
+            answers.add(() -> custodian.granted(segment, GrantResult.NOT_SENT, now));
+            return;
+        }
         Server server = servers.get(backend.id());
         if (!server.up || !server.reachable) {
             answers.add(() -> custodian.granted(segment, GrantResult.UNKNOWN, now));
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyCustodianTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyCustodianTest.java
@@ -175,6 +175,24 @@
         assertEquals(KeySegment.SLOTS, owners.heldSlots("s2"));
     }
 
+    /**
+     * Few calls are under way at one server, so a grant waits while others are unanswered. Its term counts from its
+     * arrival; a custodian that counts from its decision grants the keys to another owner too early.
+     */
+    @Test
+    void termOfAGrantThatWaitedCountsFromItsSend() {
+        start("s1", "s2");
+        owners.run(8_000);
+        owners.queueMillis = 2_400;
+        owners.lateMillis = 3_000;
+        owners.run(3_900);
+        owners.queueMillis = 0;
+        owners.lateMillis = 0;
+        owners.unlist("s1");
+        owners.run(12_000);
+        assertEquals(KeySegment.SLOTS, owners.heldSlots("s2"));
+    }
+
     @Test
     void plannedMoveGivesAPartToTheTarget() {
         start("s1", "s2");
@@ -203,7 +221,8 @@
         world.takeOver();
         for (int step = 0; step < 25; step++) {
             String name = "s" + random.nextInt(4);
-            switch (random.nextInt(8)) {
+            switch (random.nextInt(9)) {
+                case 8 -> world.queueMillis = random.nextBoolean() ? 0 : random.nextInt(3_000);
                 case 0 -> world.unlist(name);
                 case 1 -> world.reachable(name, random.nextBoolean());
                 case 2 -> {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ControlCalls.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ControlCalls.java
@@ -36,6 +36,8 @@
             Backend server,
             PlatformAdapter.ControlCall call,
             long timeoutMillis,
+            BooleanSupplier due,
+            Runnable whenDropped,
             Consumer<HttpCaller.Answer> whenDone) {}
 
     private static final class Lane {
@@ -43,21 +45,29 @@
         int underWay;
     }
 
+    /**
+     * Sends an order as soon as a lane is free.
+     *
+     * @param due is asked right before the send whether the order is still wanted
+     * @param whenDropped runs instead of the consumer if the order was not sent
+     */
     void send(
             Backend server,
             PlatformAdapter.ControlCall call,
             long timeoutMillis,
+            BooleanSupplier due,
+            Runnable whenDropped,
             Consumer<HttpCaller.Answer> whenDone) {
         Lane lane = lanes.computeIfAbsent(server.address(), address -> new Lane());
-        lane.waiting.addLast(new Order(server, call, timeoutMillis, whenDone));
+        lane.waiting.addLast(new Order(server, call, timeoutMillis, due, whenDropped, whenDone));
         next(server.address(), lane);
     }
 
     private void next(String address, Lane lane) {
         while (lane.underWay < LANES && !lane.waiting.isEmpty()) {
             Order order = lane.waiting.pollFirst();
-            if (!permitted.getAsBoolean()) {
-                order.whenDone().accept(HttpCaller.Answer.NONE);
+            if (!permitted.getAsBoolean() || !order.due().getAsBoolean()) {
+                order.whenDropped().run();
                 continue;
             }
             lane.underWay++;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
@@ -49,9 +49,6 @@
      */
     public record Answer(int status, HttpHeaders headers, String body) {
 
-        /** The result of a call that was not made or got no answer. */
-        public static final Answer NONE = new Answer(0, EmptyHttpHeaders.INSTANCE, "");
-
         /** Returns whether there was an answer. */
         public boolean received() {
             return status != 0;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
@@ -402,7 +403,9 @@
         @Override
         public void grant(Backend server, KeySegment segment, String handover) {
             PlatformAdapter.ControlCall call = adapter.grant(segment, timing().holdMillis(), handover);
-            calls.send(server, call, GRANT_TIMEOUT_MILLIS, answer -> {
+            BooleanSupplier due = () -> current() && custodian.sends(segment, clock.millis());
+            Runnable dropped = () -> grantEnded(segment, GrantResult.NOT_SENT);
+            calls.send(server, call, GRANT_TIMEOUT_MILLIS, due, dropped, answer -> {
                 GrantResult result =
                         switch (answer.status()) {
                             case STATUS_OK -> GrantResult.ACCEPTED;
@@ -412,24 +415,35 @@
                 if (result != GrantResult.ACCEPTED) {
                     logOrder("grant-failed", server, segment, answer);
                 }
-                if (current()) {
-                    custodian.granted(segment, result, clock.millis());
-                }
+                grantEnded(segment, result);
             });
         }
 
+        private void grantEnded(KeySegment segment, GrantResult result) {
+            if (current()) {
+                custodian.granted(segment, result, clock.millis());
+            }
+        }
+
         @Override
         public void release(Backend server, KeySegment segment) {
-            calls.send(server, adapter.release(segment), RELEASE_TIMEOUT_MILLIS, answer -> {
+            Runnable dropped = () -> releaseEnded(segment, false, null);
+            calls.send(server, adapter.release(segment), RELEASE_TIMEOUT_MILLIS, this::current, dropped, answer -> {
                 boolean confirmed = answer.status() == STATUS_OK;
                 logOrder(confirmed ? "keys-released" : "release-failed", server, segment, answer);
-                if (current()) {
-                    String handover = answer.headers().get(adapter.headers().handover());
-                    custodian.released(segment, confirmed, handover, clock.millis());
-                }
+                releaseEnded(
+                        segment,
+                        confirmed,
+                        answer.headers().get(adapter.headers().handover()));
             });
         }
 
+        private void releaseEnded(KeySegment segment, boolean confirmed, String handover) {
+            if (current()) {
+                custodian.released(segment, confirmed, handover, clock.millis());
+            }
+        }
+
         private void logOrder(String event, Backend server, KeySegment segment, HttpCaller.Answer answer) {
             log.info(
                     event,
