--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -1,6 +1,5 @@
 package org.jackdawslip.internal.gateway;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -40,10 +39,6 @@
     private static final int MAX_CONNECT_FAILURES = 4;
     /** Interval at which a request looks for an owner of its key, in milliseconds. */
     private static final long OWNER_POLL_MILLIS = 15;
-    /** Longest wait for an owner; a planned move takes about as long as one request. */
-    private static final long OWNER_WAIT_MILLIS = 600;
-    /** Part of the target latency that a request waits for an owner at most, so that its answer may be on time. */
-    private static final double OWNER_WAIT_SHARE = 0.5;
     /** A second send starts after this multiple of the expected time. */
     private static final double HEDGE_FACTOR = 2.5;
     /** A second send starts at the earliest after this share of the target latency. */
@@ -79,7 +74,6 @@
     private int mayHaveRun;
     private int refusals;
     private int connectFailures;
-    private long waitingForOwnerSince = -1;
     private boolean finished;
     private boolean offered;
     private ScheduledFuture<?> deadlineTimer;
@@ -148,7 +142,7 @@
         BackendTracker server = choice.next();
         long now = now();
         if (server == null) {
-            if (keySlot >= 0 && choice.ownerExpected() && mayWaitForOwner(now)) {
+            if (keySlot >= 0 && choice.mayWaitForOwner(now)) {
                 stepTimer = schedule(this::next, OWNER_POLL_MILLIS);
             } else {
                 pauseMillis = keySlot >= 0 ? LONGEST_PAUSE : 0;
@@ -165,14 +159,6 @@
         send(server, expected);
     }
 
-    private boolean mayWaitForOwner(long now) {
-        if (waitingForOwnerSince < 0) {
-            waitingForOwnerSince = now;
-        }
-        long limit = Math.min(OWNER_WAIT_MILLIS, (long) (OWNER_WAIT_SHARE * route.targetLatencyMillis()));
-        return now - waitingForOwnerSince < limit;
-    }
-
     private LatencyEstimate latency() {
         return choice.latency();
     }
@@ -342,16 +328,8 @@
         if (route != null) {
             services.metrics().answered(route, now() - request.receivedAt(), status);
         }
-        HttpHeaders headers = new DefaultHttpHeaders();
-        if (!id.isEmpty()) {
-            headers.set(services.adapter().headers().requestId(), id);
-        }
-        if (status == 503) {
-            long pause = Admission.pauseMillis(pauseMillis, Math.max(0, deadlineAt - now()));
-            headers.set("Retry-After", String.format(Locale.ROOT, "%.3f", pause / 1_000.0));
-        }
-        headers.set("Content-Type", "text/plain");
-        reply.answer(status, headers, (code + ": " + reason + "\n").getBytes(StandardCharsets.UTF_8));
+        long pause = Admission.pauseMillis(pauseMillis, Math.max(0, deadlineAt - now()));
+        OwnAnswer.send(reply, services.adapter().headers(), id, status, code + ": " + reason, pause);
     }
 
     /** The caller has left: the work of idempotent requests ends. */
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
@@ -26,6 +26,11 @@
     /** Time after which a request goes again to an owner that denied to be it; its grant may have been on the way. */
     private static final long SAME_OWNER_MILLIS = 60;
 
+    /** Longest wait for an owner; a planned move takes about as long as one request. */
+    private static final long OWNER_WAIT_MILLIS = 600;
+    /** Part of the target latency that a request waits for an owner at most, so that its answer may be on time. */
+    private static final double OWNER_WAIT_SHARE = 0.5;
+
     private final Services services;
     private final HostRoute route;
     private final ServiceConfig service;
@@ -34,6 +39,7 @@
     private KeySegment lastSegment;
     private KeySegment deniedSegment;
     private long deniedAt;
+    private long waitingSince = -1;
 
     ServerChoice(Services services, HostRoute route, ServiceConfig service, int keySlot) {
         this.services = services;
@@ -74,9 +80,16 @@
         deniedAt = services.clock().millis();
     }
 
-    /** Returns whether an owner that cannot be used now is expected to be replaced or usable within moments. */
-    boolean ownerExpected() {
-        long now = services.clock().millis();
+    /** Returns whether an owner is expected within moments, so that the answer may still be on time. */
+    boolean mayWaitForOwner(long now) {
+        if (waitingSince < 0) {
+            waitingSince = now;
+        }
+        long limit = Math.min(OWNER_WAIT_MILLIS, (long) (OWNER_WAIT_SHARE * route.targetLatencyMillis()));
+        return now - waitingSince < limit && ownerExpected(now);
+    }
+
+    private boolean ownerExpected(long now) {
         OwnerView owners = services.routing().owners(service.name());
         KeySegment segment = owners.find(keySlot, now);
         if (segment == null) {
