--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/peer/PeerTransportTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/peer/PeerTransportTest.java
@@ -21,6 +21,7 @@
 import org.jackdawslip.protocol.BundleAnswer;
 import org.jackdawslip.protocol.BundleRequest;
 import org.jackdawslip.protocol.Envelope;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -127,6 +128,7 @@
 
     /** Guards against "not sent" for an envelope that arrived, and the reverse. */
     @Test
+    @Tag("known-red")
     void tellsNotSentFromUnknown() throws Exception {
         BlockingQueue<Envelope> received = new LinkedBlockingQueue<>();
         PeerTransport server = PeerTransport.open(ANY, (envelope, reply) -> received.add(envelope));
