--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/IdleLimit.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/IdleLimit.java
@@ -28,12 +28,15 @@
      *
      * @param idleMillis how long it had been idle
      * @param openMillis how long the request was open when the connection was lost
+     * @return whether the idle time is taken to be the cause, so that the limit holds from now on
      */
-    public void lost(long idleMillis, long openMillis, long now) {
-        if (openMillis <= PROMPT_MILLIS) {
-            limitMillis = Math.max(SHORTEST_MILLIS, Math.min(millis(now), Math.round(MARGIN * idleMillis)));
-            until = now + HOLDS_MILLIS;
+    public boolean lost(long idleMillis, long openMillis, long now) {
+        if (openMillis > PROMPT_MILLIS) {
+            return false;
         }
+        limitMillis = Math.max(SHORTEST_MILLIS, Math.min(millis(now), Math.round(MARGIN * idleMillis)));
+        until = now + HOLDS_MILLIS;
+        return true;
     }
 
     /** Returns the limit, or {@link #NONE}. */
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -89,7 +89,20 @@
         BackendTracker tracker = new BackendTracker(backend, now);
         IdleLimit idleLimit = idleLimits.computeIfAbsent(backend.service(), service -> new IdleLimit());
         ConnectionPool pool = new ConnectionPool(
-                loop, clock, backend.host(), backend.port(), idleLimit, connections(backend.service()));
+                loop,
+                clock,
+                backend.host(),
+                backend.port(),
+                idleLimit,
+                limitMillis -> log.warn(
+                        "idle-limit-shortened",
+                        "service",
+                        backend.service(),
+                        "backend",
+                        backend.id(),
+                        "limitMillis",
+                        limitMillis),
+                connections(backend.service()));
         Target target = new Target(entry, tracker, pool);
         byEntry.put(entry, target);
         byId.put(backend.id(), target);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.LongConsumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -37,10 +38,25 @@
     private final ArrayDeque<HttpConnection> idle = new ArrayDeque<>();
     private final Set<HttpConnection> open = new HashSet<>();
     private final IdleLimit idleLimit;
+    private final LongConsumer whenShortened;
     private int limit;
 
-    ConnectionPool(EventLoopGroup loop, MonotonicClock clock, String host, int port, IdleLimit idleLimit, int limit) {
+    /**
+     * Makes a pool.
+     *
+     * @param idleLimit how long a connection may have been idle; shared with other pools of the service
+     * @param whenShortened takes the new limit in milliseconds after a connection was lost because it had been idle
+     */
+    ConnectionPool(
+            EventLoopGroup loop,
+            MonotonicClock clock,
+            String host,
+            int port,
+            IdleLimit idleLimit,
+            LongConsumer whenShortened,
+            int limit) {
         this.idleLimit = idleLimit;
+        this.whenShortened = whenShortened;
         this.loop = loop;
         this.clock = clock;
         this.address = new InetSocketAddress(host, port);
@@ -55,8 +71,15 @@
         return clock.millis();
     }
 
-    IdleLimit idleLimit() {
-        return idleLimit;
+    long idleLimitMillis() {
+        return idleLimit.millis(now());
+    }
+
+    /** Takes the loss of a connection that was used again. */
+    void lostAfterIdle(long idleMillis, long openMillis) {
+        if (idleLimit.lost(idleMillis, openMillis, now())) {
+            whenShortened.accept(idleLimitMillis());
+        }
     }
 
     /**
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
@@ -104,6 +104,8 @@
                     text.substring(0, colon),
                     Integer.parseInt(text.substring(colon + 1)),
                     new IdleLimit(),
+                    // Calls are repeated or their loss is logged by who makes them.
+                    idleLimitMillis -> {},
                     connectionsPerAddress);
         });
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -75,9 +75,7 @@
     }
 
     boolean usable(long now) {
-        return reusable
-                && channel.isActive()
-                && now - idleSince < Math.min(idleLimitMillis, pool.idleLimit().millis(now));
+        return reusable && channel.isActive() && now - idleSince < Math.min(idleLimitMillis, pool.idleLimitMillis());
     }
 
     void close() {
@@ -157,7 +155,7 @@
         close();
         if (current != null) {
             if (idleMillis != NEVER && failure == ExchangeFailure.CONNECTION_LOST) {
-                pool.idleLimit().lost(idleMillis, pool.now() - sentAt, pool.now());
+                pool.lostAfterIdle(idleMillis, pool.now() - sentAt);
             }
             current.failed(failure);
         }
