Answer "may have run" when an earlier send of a request was lost

Cause, found by reading the class against its stated invariant: after a lost send, a refusal by the second server, or no server for a second send, was answered 503, which states that the request did not run. Also: a second send was held to the target latency like a first attempt, and a full owner of a key used up the retry budget for nothing. Ruled out for at-most-once requests: they are sent again only after a stated refusal.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -71,7 +71,9 @@
     private int keySlot = ServerChoice.NO_KEY;
     private Attempt lastAttempt;
     private int sends;
+    /** Sends of which it is not known that they did not run, the open ones included. */
     private int mayHaveRun;
+
     private int refusals;
     private int connectFailures;
     private boolean finished;
@@ -151,8 +153,9 @@
             return;
         }
         double expected = server.expectedMillis(latency().millis(), now);
-        if (now + expected > usefulUntil && server.busy(now) >= server.backend().slots()) {
-            pauseMillis = now + expected - usefulUntil;
+        long latest = sends == 0 ? usefulUntil : deadlineAt;
+        if (now + expected > latest && server.busy(now) >= server.backend().slots()) {
+            pauseMillis = now + expected - latest;
             refuse(ErrorCode.QUEUE_FULL, "expected time " + Math.round(expected) + " ms exceeds the useful time");
             return;
         }
@@ -234,12 +237,8 @@
         if (keySlot >= 0 && misdirected && refusals < MAX_DENIALS && tryRetry()) {
             choice.denied();
             retry("not the owner", attempt);
-        } else if (attemptsLeft() && tryRetry()) {
-            if (keySlot >= 0) {
-                refuse(ErrorCode.BACKEND_REFUSED, "the owner of the key is full");
-            } else {
-                retry(misdirected ? "another server has the address" : "server full", attempt);
-            }
+        } else if (keySlot < 0 && attemptsLeft() && tryRetry()) {
+            retry(misdirected ? "another server has the address" : "server full", attempt);
         } else {
             refuse(ErrorCode.BACKEND_REFUSED, "the backend server did not run it, status " + status);
         }
@@ -315,8 +314,12 @@
         finishWith(status, ErrorCode.OUTCOME_UNKNOWN, reason);
     }
 
-    /** Answers that the request did not run. */
+    /** Answers that the request did not run, unless an earlier send may have run. */
     private void refuse(ErrorCode code, String reason) {
+        if (mayHaveRun > 0) {
+            fail(502, reason + "; an earlier send may have run");
+            return;
+        }
         finishWith(code == ErrorCode.DEADLINE_EXCEEDED ? 503 : code.httpStatus(), code, reason);
     }
 
