Let the red test of the peer transport say where it waits

Every wait now has a bound and a message, and the loop keeps the last failure. It demands the same outcomes.

--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/peer/PeerTransportTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/peer/PeerTransportTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
 import org.jackdawslip.ErrorCode;
@@ -30,6 +31,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -136,24 +138,27 @@
         try (PeerTransport client = PeerTransport.open(ANY, ECHO)) {
             assertEquals(Outcome.UNKNOWN, outcome(client.request(address, request(1), Duration.ofMillis(200))));
             CompletableFuture<Envelope> cut = client.request(address, request(2), LONG);
-            received.take();
-            received.take();
+            assertNotNull(received.poll(5, TimeUnit.SECONDS), "the first request did not arrive");
+            assertNotNull(received.poll(5, TimeUnit.SECONDS), "the second request did not arrive");
             server.close();
             assertEquals(Outcome.UNKNOWN, outcome(cut));
             assertEquals(Outcome.NOT_RUN, outcome(client.request(address, request(3), LONG)));
             assertEquals(Outcome.NOT_RUN, outcome(client.send(address, request(4))));
             try (PeerTransport again = PeerTransport.open(address, ECHO)) {
-                while (true) {
+                Envelope answer = null;
+                ExecutionException last = null;
+                for (int i = 0; i < 500 && answer == null; i++) {
                     try {
-                        Envelope answer =
-                                client.request(address, request(5), LONG).get();
-                        assertEquals(5, answer.getBundleAnswer().getVersion());
-                        break;
+                        answer = client.request(address, request(5), LONG).get();
                     } catch (ExecutionException e) {
                         // The back-off has not passed yet.
+                        last = e;
                         Thread.sleep(10);
                     }
                 }
+                ExecutionException failure = last;
+                assertNotNull(answer, () -> "no answer after the back-off: " + failure);
+                assertEquals(5, answer.getBundleAnswer().getVersion());
             }
         }
     }
