Log when a backend server is taken to be cold, and each send to it

The logs could not say why: nothing told which instances sent to a cold server, what share each of them used, or how many requests an instance had sent before it knew.

Three lines are added. backend-cold and backend-warm give the source of the belief, the remaining time and the requests that this instance sent to the server in the last second. request-to-cold-backend gives for one request the server, the key, the remaining time, the sends of the last second and the number of live instances that the share was computed from. backend-listed gives the start of the life and the sends to the life before it.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
@@ -1,5 +1,6 @@
 package org.jackdawslip.internal.balance;
 
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -39,10 +40,13 @@
     private static final int DENIALS_BEFORE_PAUSE = 2;
     /** Overdue answers in a row before a server is avoided; one may be a long request. */
     private static final int SILENCES_BEFORE_PAUSE = 2;
+    /** Time over which sends are counted, in milliseconds; a cold server bears a number of requests a second. */
+    private static final long RECENT_MILLIS = 1_000;
 
     private Backend backend;
     private final WarmupPacer pacer = new WarmupPacer();
     private final Map<InstanceId, Integer> peerInFlight = new HashMap<>();
+    private final ArrayDeque<Long> recentSends = new ArrayDeque<>();
     private int inFlight;
     private int peerTotal;
     private double ratio = 1;
@@ -88,14 +92,33 @@
         return now < coldUntil;
     }
 
+    /** Returns for how much longer the server is taken to be cold, in milliseconds. */
+    public long coldMillis(long now) {
+        return cold(now) ? coldUntil - now : 0;
+    }
+
     /** Returns the pacer for the time in which the server is cold. */
     public WarmupPacer pacer() {
         return pacer;
     }
 
     /** Counts a send. */
-    public void sent() {
+    public void sent(long now) {
         inFlight++;
+        forgetOldSends(now);
+        recentSends.addLast(now);
+    }
+
+    /** Returns the number of sends within the last second. */
+    public int recentSends(long now) {
+        forgetOldSends(now);
+        return recentSends.size();
+    }
+
+    private void forgetOldSends(long now) {
+        while (!recentSends.isEmpty() && recentSends.peekFirst() <= now - RECENT_MILLIS) {
+            recentSends.removeFirst();
+        }
     }
 
     /** Counts a send that was given up or failed without an answer. */
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/BackendTrackerTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/BackendTrackerTest.java
@@ -27,7 +27,7 @@
             0);
 
     private void silence(long now) {
-        tracker.sent();
+        tracker.sent(0);
         tracker.silent(now);
     }
 
@@ -45,7 +45,7 @@
     void oneLongRequestBetweenAnswersIsNotSilence() {
         for (int i = 0; i < 10; i++) {
             silence(i);
-            tracker.sent();
+            tracker.sent(0);
             tracker.answered(true);
         }
         assertFalse(tracker.paused(11));
@@ -54,14 +54,14 @@
     /** Each request to an address that another service has by now counts against the retry budget of that service. */
     @Test
     void serverThatDeniesRequestsIsAskedOnlyAfterAPause() {
-        tracker.sent();
+        tracker.sent(0);
         tracker.denied(0);
         assertFalse(tracker.denies());
-        tracker.sent();
+        tracker.sent(0);
         tracker.denied(60);
         assertTrue(tracker.denies() && tracker.paused(100));
         assertFalse(tracker.paused(60 + 2_000));
-        tracker.sent();
+        tracker.sent(0);
         tracker.answered(true);
         assertFalse(tracker.denies());
     }
@@ -79,7 +79,7 @@
     void countsOfPeersReplaceEachOther() {
         tracker.peerInFlight(new InstanceId("p"), 4);
         tracker.peerInFlight(new InstanceId("p"), 1);
-        tracker.sent();
+        tracker.sent(0);
         assertEquals(2, tracker.busy(0));
         tracker.forgetPeer(new InstanceId("p"));
         assertEquals(1, tracker.busy(0));
@@ -99,4 +99,13 @@
         assertTrue(tracker.cold(499));
         assertFalse(tracker.cold(500));
     }
+
+    /** The log tells by this count whether a server was flooded before its cold state was known. */
+    @Test
+    void recentSendsAreThoseOfTheLastSecond() {
+        tracker.sent(0);
+        tracker.sent(400);
+        assertEquals(2, tracker.recentSends(999));
+        assertEquals(1, tracker.recentSends(1_000));
+    }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -79,12 +79,15 @@
                 && known.backend().sameLife(backend)
                 && known.backend().address().equals(backend.address())) {
             boolean changed = known.backend().draining() != backend.draining();
+            boolean wasCold = known.tracker.cold(now);
             known.tracker.update(backend, now);
+            noteColdness(known, wasCold, "listing", now);
             if (changed) {
                 log.info("backend-draining", "backend", backend.id(), "service", backend.service());
             }
             return;
         }
+        int sentToEarlierLife = known == null ? 0 : known.tracker.recentSends(now);
         removed(entry);
         BackendTracker tracker = new BackendTracker(backend, now);
         IdleLimit idleLimit = idleLimits.computeIfAbsent(backend.service(), service -> new IdleLimit());
@@ -120,8 +123,31 @@
                 backend.address(),
                 "domain",
                 backend.domain(),
+                "startedAt",
+                backend.startedAtMillis(),
                 "coldMillis",
-                backend.warmupRemainingMillis());
+                backend.warmupRemainingMillis(),
+                "sentInLastSecond",
+                sentToEarlierLife);
+    }
+
+    /** Logs that a server is now taken to be cold, or no longer, and how many requests it got before that was known. */
+    private void noteColdness(Target target, boolean before, String source, long now) {
+        boolean cold = target.tracker.cold(now);
+        if (cold != before) {
+            log.info(
+                    cold ? "backend-cold" : "backend-warm",
+                    "backend",
+                    target.backend().id(),
+                    "service",
+                    target.backend().service(),
+                    "source",
+                    source,
+                    "coldMillis",
+                    target.tracker.coldMillis(now),
+                    "sentInLastSecond",
+                    target.tracker.recentSends(now));
+        }
     }
 
     void removed(String entry) {
@@ -151,7 +177,9 @@
             long now = clock.millis();
             for (Target target : byEntry.values()) {
                 if (target.backend().domain().equals(domain)) {
+                    boolean wasCold = target.tracker.cold(now);
                     target.tracker.coldFor(2 * heartbeatMillis, now);
+                    noteColdness(target, wasCold, "domain brought back", now);
                 }
             }
         }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRecords.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRecords.java
@@ -111,6 +111,28 @@
                 serverPace);
     }
 
+    /** The sends of all instances to a cold server within a second count together. */
+    void sentToCold(Send send, long coldMillis, int sentInLastSecond, int liveInstances) {
+        log.info(
+                "request-to-cold-backend",
+                "request",
+                id,
+                "route",
+                route,
+                "service",
+                service,
+                "key",
+                key,
+                "backend",
+                send.backend(),
+                "coldMillis",
+                coldMillis,
+                "sentInLastSecond",
+                sentInLastSecond,
+                "liveInstances",
+                liveInstances);
+    }
+
     /** The server is avoided from now on, because of what happened to this request. */
     void avoided(Send send, String cause, long pauseMillis) {
         log.warn(
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -171,10 +171,17 @@
         choice.sent(server, now);
         Attempt attempt = new Attempt(services.directory().target(server), now, expectedMillis);
         lastAttempt = attempt;
+        if (server.cold(now)) {
+            records.sentToCold(
+                    attempt.record(),
+                    server.coldMillis(now),
+                    server.recentSends(now),
+                    services.routing().instances().size());
+        }
         sends++;
         open.add(attempt);
         mayHaveRun++;
-        server.sent();
+        server.sent(now);
         services.peers().inFlightChanged(attempt.target);
         FullHttpRequest forwarded = request.forward();
         HeaderNames names = services.adapter().headers();
