Reproduce the flood of a cold server with a whole fleet on simulated time

Callers lost the requests that a cold server had when it was flooded and crashed.

The rule for one send moves unchanged from ServerChoice into WarmupGate in the core, so that a test can play it for any number of instances. WarmupFleet plays 1 to 300 instances with a store that lists them, against cold servers.

Each instance has its part of the rate, but its first send is free.

GatewaySessionTest passes on the moved code.

--- /dev/null
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/WarmupFleet.java
@@ -0,0 +1,189 @@
+package org.jackdawslip.internal.balance;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+import org.jackdawslip.BackendServerId;
+import org.jackdawslip.FailureDomainId;
+import org.jackdawslip.InstanceId;
+import org.jackdawslip.ServiceName;
+
+/**
+ * A whole fleet of instances on simulated time, with a store that lists instances and backend servers. Requests wait at
+ * every instance all the time, so an instance sends to a cold server whenever its gate admits it. Counts at each server
+ * what arrives while it is cold. Not thread-safe.
+ */
+final class WarmupFleet {
+
+    private static final long STEP_MILLIS = 5;
+    private static final long WINDOW_MILLIS = 1_000;
+    private static final long RENEW_MILLIS = 2_500;
+    private static final long TERM_MILLIS = 8_000;
+    private static final int SHORTEST_GATHER_MILLIS = 400;
+    private static final int GATHER_SPREAD_MILLIS = 500;
+    private static final int LONGEST_TRANSIT_MILLIS = 3;
+    private static final ServiceName SERVICE = new ServiceName("pool");
+
+    final Random random;
+    final double rate;
+    final boolean keyed;
+    final List<Node> nodes = new ArrayList<>();
+    final List<Server> servers = new ArrayList<>();
+    /** Listings of instances with the end of their leases. */
+    private final Map<InstanceId, Long> members = new HashMap<>();
+
+    private final PriorityQueue<Arrival> underWay = new PriorityQueue<>(Comparator.comparingLong(Arrival::at));
+    long now;
+
+    private record Arrival(long at, Server server) {}
+
+    WarmupFleet(int instances, boolean keyed, double rate, long seed) {
+        this.keyed = keyed;
+        this.rate = rate;
+        this.random = new Random(seed);
+        for (int i = 0; i < instances; i++) {
+            nodes.add(new Node(new InstanceId("front-" + i)));
+        }
+    }
+
+    /** A backend server: when it is cold, what the store says of it, and what it got. */
+    final class Server {
+        final Backend backend;
+        final long coldUntil;
+        private final ArrayDeque<Long> window = new ArrayDeque<>();
+        int worst;
+        int arrivals;
+
+        Server(int number, long coldMillis) {
+            coldUntil = now + coldMillis;
+            backend = new Backend(
+                    new BackendServerId("s-" + number),
+                    now,
+                    SERVICE,
+                    "10.0.0.1",
+                    80,
+                    new FailureDomainId("a"),
+                    3,
+                    false,
+                    coldMillis);
+        }
+
+        private void arrive() {
+            if (now >= coldUntil) {
+                return;
+            }
+            arrivals++;
+            window.addLast(now);
+            while (window.peekFirst() <= now - WINDOW_MILLIS) {
+                window.removeFirst();
+            }
+            worst = Math.max(worst, window.size());
+        }
+    }
+
+    /** One instance. */
+    final class Node {
+        final InstanceId id;
+        private final Map<Server, BackendTracker> trackers = new HashMap<>();
+        private WarmupGate gate;
+        private boolean up;
+        private boolean cutFromStore;
+        private long readAt;
+        private long renewAt;
+
+        Node(InstanceId id) {
+            this.id = id;
+            start();
+        }
+
+        /** Starts a process that knows nothing, reads the store and lists itself. */
+        void start() {
+            up = true;
+            gate = new WarmupGate(id);
+            trackers.clear();
+            readAt = now + random.nextInt(SHORTEST_GATHER_MILLIS);
+            renewAt = readAt;
+        }
+
+        void kill() {
+            up = false;
+        }
+
+        /** Ends as planned: the listing goes at once. */
+        void stop() {
+            up = false;
+            members.remove(id);
+        }
+
+        void cutFromStore(boolean cut) {
+            cutFromStore = cut;
+        }
+
+        private void step() {
+            if (!up) {
+                return;
+            }
+            if (!cutFromStore && now >= renewAt) {
+                members.put(id, now + TERM_MILLIS);
+                renewAt = now + RENEW_MILLIS;
+            }
+            if (!cutFromStore && now >= readAt) {
+                read();
+                readAt = now + SHORTEST_GATHER_MILLIS + random.nextInt(GATHER_SPREAD_MILLIS);
+            }
+            trackers.forEach(this::sendIfAdmitted);
+        }
+
+        private void read() {
+            Set<InstanceId> live = new HashSet<>(members.keySet());
+            live.add(id);
+            gate.instances(live);
+            for (Server server : servers) {
+                trackers.computeIfAbsent(server, added -> new BackendTracker(added.backend, now));
+            }
+        }
+
+        private void sendIfAdmitted(Server server, BackendTracker tracker) {
+            if (tracker.cold(now) && gate.admits(tracker, keyed, now)) {
+                gate.sent(tracker, keyed, rate, now);
+                underWay.add(new Arrival(now + random.nextInt(LONGEST_TRANSIT_MILLIS), server));
+            }
+        }
+    }
+
+    /** Starts a backend server that is cold; the instances learn of it at their next look at the store. */
+    Server startServer(long coldMillis) {
+        Server server = new Server(servers.size(), coldMillis);
+        servers.add(server);
+        return server;
+    }
+
+    /** The store drops all listings of instances, as when leases run out during an outage. */
+    void lapseListings() {
+        members.clear();
+    }
+
+    /** Runs for a time. */
+    void run(long millis) {
+        for (long end = now + millis; now < end; now += STEP_MILLIS) {
+            members.values().removeIf(until -> until <= now);
+            nodes.forEach(Node::step);
+            while (!underWay.isEmpty() && underWay.peek().at() <= now) {
+                underWay.poll().server().arrive();
+            }
+        }
+    }
+
+    /** Returns the most requests that any server got within a second while it was cold. */
+    int worst() {
+        return servers.stream().mapToInt(server -> server.worst).max().orElse(0);
+    }
+}
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -170,10 +170,6 @@
         context.every(KEYS_MILLIS, "peer-keys", this::sendKeys);
     }
 
-    InstanceId self() {
-        return self;
-    }
-
     void peers(Map<InstanceId, Peer> live) {
         for (InstanceId known : List.copyOf(peers.keySet())) {
             if (!live.containsKey(known)) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
@@ -12,6 +12,7 @@
 import org.jackdawslip.internal.balance.Admission;
 import org.jackdawslip.internal.balance.LatencyEstimate;
 import org.jackdawslip.internal.balance.RetryBudget;
+import org.jackdawslip.internal.balance.WarmupGate;
 import org.jackdawslip.internal.keyspace.OwnerView;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.traffic.HostRoute;
@@ -38,6 +39,7 @@
     private final Map<String, LatencyEstimate> latencies = new HashMap<>();
     private final Map<ServiceName, OwnerView> owners = new HashMap<>();
     private final Admission admission = new Admission();
+    private final WarmupGate warmup;
     private Set<InstanceId> instances;
     private RoutingConfig config;
 
@@ -46,6 +48,7 @@
         this.log = log;
         this.splitter = new TrafficSplitter(random);
         this.instances = Set.of(settings.instance());
+        this.warmup = new WarmupGate(settings.instance());
     }
 
     /** Returns the configuration in force, or null before the first is known. */
@@ -88,6 +91,10 @@
         return owners.computeIfAbsent(service, name -> new OwnerView());
     }
 
+    WarmupGate warmup() {
+        return warmup;
+    }
+
     Admission admission() {
         return admission;
     }
@@ -101,5 +108,6 @@
         Set<InstanceId> live = new TreeSet<>(peers);
         live.add(settings.instance());
         instances = Set.copyOf(live);
+        warmup.instances(instances);
     }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
@@ -8,7 +8,6 @@
 import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.balance.BackendTracker;
 import org.jackdawslip.internal.balance.LatencyEstimate;
-import org.jackdawslip.internal.balance.WarmupPacer;
 import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.keyspace.OwnerView;
 import org.jackdawslip.internal.traffic.HostRoute;
@@ -68,10 +67,7 @@
     /** Records that the request is sent to the server. */
     void sent(BackendTracker server, long now) {
         tried.add(server.backend().id());
-        if (server.cold(now)) {
-            int senders = keyed() ? services.routing().instances().size() : WarmupPacer.SENDERS;
-            server.pacer().trySend(now, service.warmupRequestsPerSecond(), senders);
-        }
+        services.routing().warmup().sent(server, keyed(), service.warmupRequestsPerSecond(), now);
     }
 
     /** Records that the last server refused the request because it does not own the key. */
@@ -111,7 +107,7 @@
             return null;
         }
         BackendTracker tracker = target.tracker;
-        if (denies(tracker, now) || tracker.cold(now) && !tracker.pacer().mayAsk(now)) {
+        if (denies(tracker, now) || !services.routing().warmup().admits(tracker, true, now)) {
             return null;
         }
         lastSegment = segment;
@@ -143,14 +139,6 @@
     private boolean takes(BackendTracker server, long now) {
         return services.directory().admits(server.backend())
                 && !tried.contains(server.backend().id())
-                && (!server.cold(now) || warms(server, now));
-    }
-
-    private boolean warms(BackendTracker server, long now) {
-        return server.pacer().mayAsk(now)
-                && WarmupPacer.chosen(
-                        server.backend().id(),
-                        services.peers().self(),
-                        services.routing().instances());
+                && services.routing().warmup().admits(server, false, now);
     }
 }
