Give keys to cold servers only when most servers are cold

Callers saw: requests for keys of a cold owner are refused by all instances but two, because what it bears is less than what its keys get. The custodian dealt and moved keys, hot ones first, to servers that had just joined, because these own nothing and seem free.

Change: a server that is cold for longer than half a second owns no keys as long as half of the servers are warm, and an owner that turns cold gives its keys up. If most are cold, all own keys, so that the first that is warm does not get everything.

Evidence: keysOfALeavingServerDoNotMoveToAColdOne fails before (the cold server gets a third of the keys in the first deal) and passes now; OwnerCandidatesTest.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -26,6 +25,7 @@
 import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.keyspace.KeyTable;
 import org.jackdawslip.internal.keyspace.KeyTiming;
+import org.jackdawslip.internal.keyspace.OwnerCandidates;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.time.LeaseGuard;
 import org.jackdawslip.internal.time.MonotonicClock;
@@ -367,21 +367,18 @@
             }
             Map<BackendServerId, Backend> listed = new HashMap<>();
             directory.backends(service).forEach(backend -> listed.put(backend.id(), backend));
-            custodian.tick(listed, capacities(), serviceLoads(), now);
+            custodian.tick(listed, capacities(now), serviceLoads(), now);
         }
 
-        private Map<BackendServerId, Double> capacities() {
-            Map<BackendServerId, Double> capacities = new TreeMap<>();
-            for (BackendTracker tracker : directory.trackers(service)) {
-                if (directory.admits(tracker.backend())) {
-                    capacities.put(tracker.backend().id(), 1 / tracker.ratio());
-                }
-            }
-            return capacities;
+        private Map<BackendServerId, Double> capacities(long now) {
+            List<BackendTracker> admitted = directory.trackers(service).stream()
+                    .filter(tracker -> directory.admits(tracker.backend()))
+                    .toList();
+            return OwnerCandidates.capacities(admitted, now);
         }
 
         private void rebalance(long now) {
-            Map<BackendServerId, Double> capacities = capacities();
+            Map<BackendServerId, Double> capacities = capacities(now);
             if (custodian == null || serviceLoads().total() < MIN_KNOWN_REQUESTS * capacities.size()) {
                 return;
             }
