Take servers for cold for their whole warm-up when their domain is brought back

Callers saw the same flood, of another kind: the servers of a failure domain that is brought back may be cold, and their listings tell so up to a heartbeat and the delays of discovery and of the watch later. They counted as cold for two heartbeats only, 1.7 s on the small sites where the warm-up takes 3 s, and a listing that had been written before the server turned cold ended even that.

Change: the servers are presumed to be cold for the warm-up that the configuration states. A listing with remaining time replaces the presumption, one without does not end it.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
@@ -54,6 +54,9 @@
     private LoadReport report;
     private long reportAt;
     private long coldUntil = Long.MIN_VALUE;
+    /** Until then the server may be cold although its listing does not say so yet. */
+    private long presumedColdUntil = Long.MIN_VALUE;
+
     private long pausedUntil = Long.MIN_VALUE;
     private long pauseMillis;
     private int silences;
@@ -70,31 +73,39 @@
         return backend;
     }
 
-    /** Takes a newer listing of the same life. */
+    /**
+     * Takes a newer listing of the same life. A listing without remaining time does not end a presumption, because it
+     * may have been written before the server turned cold.
+     */
     public void update(Backend newer, long now) {
         backend = newer;
         if (newer.warmupRemainingMillis() > 0) {
             coldFor(newer.warmupRemainingMillis(), now);
+            presumedColdUntil = Long.MIN_VALUE;
         } else {
             coldUntil = Long.MIN_VALUE;
         }
     }
 
-    /** Treats the server as cold for the duration, unless it is already for longer. */
-    public void coldFor(long millis, long now) {
+    private void coldFor(long millis, long now) {
         if (millis > 0) {
             coldUntil = Math.max(coldUntil, now + millis);
         }
     }
 
-    /** Returns whether the server is cold. */
+    /** Treats the server as cold until its listing tells how long it is, at most for the duration. */
+    public void presumeCold(long millis, long now) {
+        presumedColdUntil = Math.max(presumedColdUntil, now + millis);
+    }
+
+    /** Returns whether the server is or may be cold. */
     public boolean cold(long now) {
-        return now < coldUntil;
+        return now < Math.max(coldUntil, presumedColdUntil);
     }
 
     /** Returns for how much longer the server is taken to be cold, in milliseconds. */
     public long coldMillis(long now) {
-        return cold(now) ? coldUntil - now : 0;
+        return cold(now) ? Math.max(coldUntil, presumedColdUntil) - now : 0;
     }
 
     /** Returns the pacer for the time in which the server is cold. */
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/BackendTrackerTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/BackendTrackerTest.java
@@ -93,13 +93,46 @@
         assertTrue(millis < 2_600, "expected " + millis);
     }
 
+    private Backend listing(long coldMillis) {
+        Backend first = tracker.backend();
+        return new Backend(
+                first.id(),
+                first.startedAtMillis(),
+                first.service(),
+                first.host(),
+                first.port(),
+                first.domain(),
+                first.slots(),
+                first.draining(),
+                coldMillis);
+    }
+
     @Test
-    void restartedServerIsColdUntilItsListingSaysOtherwise() {
-        tracker.coldFor(500, 0);
+    void presumedColdServerIsColdForItsTime() {
+        tracker.presumeCold(500, 0);
         assertTrue(tracker.cold(499));
         assertFalse(tracker.cold(500));
     }
 
+    /** A listing that was written before the server turned cold let the full load through. */
+    @Test
+    void listingOfAWarmServerDoesNotEndAPresumption() {
+        tracker.presumeCold(3_000, 0);
+        tracker.update(listing(0), 100);
+        assertTrue(tracker.cold(2_999));
+    }
+
+    @Test
+    void listingOfAColdServerReplacesAPresumption() {
+        tracker.presumeCold(3_000, 0);
+        tracker.update(listing(1_000), 100);
+        assertTrue(tracker.cold(1_099));
+        assertFalse(tracker.cold(1_100));
+        tracker.update(listing(0), 500);
+        assertFalse(tracker.cold(500));
+        assertEquals(0, tracker.coldMillis(500));
+    }
+
     /** The log tells by this count whether a server was flooded before its cold state was known. */
     @Test
     void recentSendsAreThoseOfTheLastSecond() {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -35,6 +35,9 @@
     /** Part of a server's connection limit that callers use; the rest is for grants and health checks. */
     private static final double CALLER_CONNECTION_SHARE = 0.8;
 
+    /** Heartbeats within which a listing that changed is known here. */
+    private static final int LISTING_HEARTBEATS = 2;
+
     /** One server with its connections. */
     static final class Target {
         final String entry;
@@ -173,18 +176,25 @@
         }
         log.info(out ? "domain-taken-out" : "domain-brought-back", "domain", domain);
         if (!out) {
-            // Its servers may be cold; their next listing tells.
+            // Its servers may be cold, and their listings may tell so only later.
             long now = clock.millis();
             for (Target target : byEntry.values()) {
                 if (target.backend().domain().equals(domain)) {
                     boolean wasCold = target.tracker.cold(now);
-                    target.tracker.coldFor(2 * heartbeatMillis, now);
+                    target.tracker.presumeCold(
+                            longestColdMillis(target.backend().service()), now);
                     noteColdness(target, wasCold, "domain brought back", now);
                 }
             }
         }
     }
 
+    /** Returns for how long a server may be cold before its listing tells. */
+    private long longestColdMillis(ServiceName service) {
+        ServiceConfig found = config == null ? null : config.service(service);
+        return Math.max(LISTING_HEARTBEATS * heartbeatMillis, found == null ? 0 : found.warmupMillis());
+    }
+
     /** Returns whether new requests may be sent to the server. */
     boolean admits(Backend backend) {
         return !backend.draining() && !takenOut.contains(backend.domain());
