Count retries over no less than the window of their budget

Callers lose by it when backend servers are short of room and repeats take it.

One more bucket is kept. windowIsNotShorterThanItsLength fails without it; the other tests of the budget hold unchanged.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/RetryBudget.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/RetryBudget.java
@@ -10,7 +10,9 @@
  */
 public final class RetryBudget {
 
-    private static final int BUCKETS = 20;
+    private static final int BUCKETS_PER_WINDOW = 20;
+    /** One more than a window has, because the newest bucket is not over yet. */
+    private static final int BUCKETS = BUCKETS_PER_WINDOW + 1;
 
     private final double ratio;
     private final double allowance;
@@ -29,7 +31,7 @@
     public RetryBudget(double ratio, double allowance, long windowMillis) {
         this.ratio = ratio;
         this.allowance = allowance;
-        this.bucketMillis = Math.max(1, windowMillis / BUCKETS);
+        this.bucketMillis = Math.max(1, windowMillis / BUCKETS_PER_WINDOW);
     }
 
     /** Counts a request of a caller. */
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/RetryBudgetTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/RetryBudgetTest.java
@@ -30,6 +30,15 @@
         assertFalse(budget.tryRetry(20, 10));
     }
 
+    /** The newest bucket is not over yet, so as many buckets as a window has cover less than the window. */
+    @Test
+    void windowIsNotShorterThanItsLength() {
+        RetryBudget budget = new RetryBudget(0, 1, 10_000);
+        assertTrue(budget.tryRetry(499, 1));
+        assertFalse(budget.tryRetry(10_001, 1));
+        assertTrue(budget.tryRetry(10_999, 1));
+    }
+
     /** Retries at the end of one window and the start of the next lie in one sliding window. */
     @Test
     void windowSlides() {
