Use the allowance of retries only while all instances count one another

The same cause as with cold servers: each instance divided the allowance by the instances in its own view. After listings lapsed, or at a start of all instances, each took the whole of it. Callers lose by it: repeats take the room of requests at servers that are short of it.

Change: an instance that is not established uses only what its own requests earn. A restarted one is established after 10 s, when what its earlier life used has left the window.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/RetryBudget.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/RetryBudget.java
@@ -5,8 +5,9 @@
 /**
  * Bounds the sends beyond the first of each request for one service over a sliding window.
  *
- * <p>All instances share one bound. Each instance uses the ratio on its own requests and an equal part of the fixed
- * allowance, so the sum stays within the bound without messages. Not thread-safe.
+ * <p>All instances share one bound. Each instance uses the ratio on its own requests and its share of the fixed
+ * allowance. The sum stays within the bound without messages as long as the shares add up to at most 1. Not
+ * thread-safe.
  */
 public final class RetryBudget {
 
@@ -43,22 +44,26 @@
     /**
      * Takes one extra send out of the budget.
      *
-     * @param instances live instances that share the allowance, at least 1
+     * @param share part of the allowance that this instance may use, from 0 to 1
      * @return whether the budget allows it
      */
-    public boolean tryRetry(long now, int instances) {
-        if (remaining(now, instances) < 1) {
+    public boolean tryRetry(long now, double share) {
+        if (remaining(now, share) < 1) {
             return false;
         }
         retries[slot(newestBucket)]++;
         return true;
     }
 
-    /** Returns how many extra sends are left in the current window. */
-    public double remaining(long now, int instances) {
+    /**
+     * Returns how many extra sends are left in the current window.
+     *
+     * @param share part of the allowance that this instance may use, from 0 to 1
+     */
+    public double remaining(long now, double share) {
         advance(now);
         return ratio * Arrays.stream(requests).sum()
-                + allowance / Math.max(1, instances)
+                + allowance * share
                 - Arrays.stream(retries).sum();
     }
 
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/membership/MemberStanding.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/membership/MemberStanding.java
@@ -63,6 +63,15 @@
         view.renewed(sentAt, VIEW_MILLIS);
     }
 
+    /**
+     * Returns this instance's share of a bound that all instances have in common, from 0 to 1.
+     *
+     * @param live instances in its view of the store, itself included
+     */
+    public double share(int live) {
+        return established() ? 1.0 / live : 0;
+    }
+
     /** Returns whether this instance may use its share of a common bound. */
     public boolean established() {
         boolean listed = listing.valid() && listedAt != NEVER && clock.millis() - listedAt >= SETTLE_MILLIS;
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/WarmupFleet.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/SimulatedFleet.java
@@ -19,11 +19,15 @@
 
 /**
  * A whole fleet of instances on simulated time, with a store that lists instances and backend servers. Requests wait at
- * every instance all the time, so an instance sends to a cold server whenever its gate admits it. Counts at each server
- * what arrives while it is cold. Not thread-safe.
+ * every instance all the time, so an instance sends to a cold server and uses its retry budget whenever it may. Counts
+ * what arrives at each server while it is cold, and the extra sends of all instances. Not thread-safe.
  */
-final class WarmupFleet {
+final class SimulatedFleet {
 
+    /** Extra sends in each window for all instances together. */
+    static final int RETRY_ALLOWANCE = 172;
+
+    private static final long RETRY_WINDOW_MILLIS = 10_000;
     private static final long STEP_MILLIS = 5;
     private static final long WINDOW_MILLIS = 1_000;
     private static final long RENEW_MILLIS = 2_500;
@@ -41,11 +45,13 @@
     private final Map<InstanceId, Long> members = new HashMap<>();
 
     private final PriorityQueue<Arrival> underWay = new PriorityQueue<>(Comparator.comparingLong(Arrival::at));
+    private final ArrayDeque<Long> retries = new ArrayDeque<>();
+    private int mostRetries;
     long now;
 
     private record Arrival(long at, Server server) {}
 
-    WarmupFleet(int instances, double rate, long seed) {
+    SimulatedFleet(int instances, double rate, long seed) {
         this.rate = rate;
         this.random = new Random(seed);
         for (int i = 0; i < instances; i++) {
@@ -94,6 +100,8 @@
         private final Map<Server, BackendTracker> trackers = new HashMap<>();
         private MemberStanding standing;
         private WarmupGate gate;
+        private RetryBudget budget;
+        private int live = 1;
         private boolean listed;
         private boolean up;
         private boolean cutFromStore;
@@ -110,6 +118,8 @@
             up = true;
             standing = new MemberStanding(() -> now, () -> now);
             gate = new WarmupGate(id, standing::established);
+            budget = new RetryBudget(0, RETRY_ALLOWANCE, RETRY_WINDOW_MILLIS);
+            live = 1;
             listed = false;
             trackers.clear();
             readAt = now + random.nextInt(SHORTEST_GATHER_MILLIS);
@@ -143,6 +153,9 @@
                 readAt = now + SHORTEST_GATHER_MILLIS + random.nextInt(GATHER_SPREAD_MILLIS);
             }
             trackers.forEach(this::sendIfAdmitted);
+            while (budget.tryRetry(now, standing.share(live))) {
+                retries.addLast(now);
+            }
         }
 
         private void list() {
@@ -158,9 +171,15 @@
 
         private void read() {
             standing.viewed(now);
-            Set<InstanceId> live = new HashSet<>(members.keySet());
-            live.add(id);
-            gate.instances(live);
+            if (listed && !members.containsKey(id)) {
+                standing.unlisted();
+                listed = false;
+                renewAt = now;
+            }
+            Set<InstanceId> view = new HashSet<>(members.keySet());
+            view.add(id);
+            gate.instances(view);
+            live = view.size();
             for (Server server : servers) {
                 trackers.computeIfAbsent(server, added -> new BackendTracker(added.backend, now));
             }
@@ -181,7 +200,7 @@
         return server;
     }
 
-    /** The store drops all listings of instances, as when leases run out during an outage. */
+    /** The store drops all listings of instances, though their leases still seem to be valid. */
     void lapseListings() {
         members.clear();
     }
@@ -191,12 +210,21 @@
         for (long end = now + millis; now < end; now += STEP_MILLIS) {
             members.values().removeIf(until -> until <= now);
             nodes.forEach(Node::step);
+            while (!retries.isEmpty() && retries.peekFirst() <= now - RETRY_WINDOW_MILLIS) {
+                retries.removeFirst();
+            }
+            mostRetries = Math.max(mostRetries, retries.size());
             while (!underWay.isEmpty() && underWay.peek().at() <= now) {
                 underWay.poll().server().arrive();
             }
         }
     }
 
+    /** Returns the most extra sends of all instances in any window. */
+    int mostRetries() {
+        return mostRetries;
+    }
+
     /** Returns the most requests that any server got within a second while it was cold. */
     int worst() {
         return servers.stream().mapToInt(server -> server.worst).max().orElse(0);
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/WarmupFleetTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/WarmupFleetTest.java
@@ -31,7 +31,7 @@
         }
     }
 
-    private static void assertBorne(WarmupFleet fleet, Bound bound) {
+    private static void assertBorne(SimulatedFleet fleet, Bound bound) {
         assertTrue(
                 fleet.worst() <= bound.most,
                 () -> fleet.worst() + " requests in a second at a cold server that bears " + bound.most);
@@ -41,7 +41,7 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 10, 12, 66, 82, 300, 1_000})
     void coldServerIsNotFloodedByAFleetOfAnySize(int instances) {
-        WarmupFleet fleet = new WarmupFleet(instances, Bound.ATLAS_GROWN.rate, 1);
+        SimulatedFleet fleet = new SimulatedFleet(instances, Bound.ATLAS_GROWN.rate, 1);
         fleet.run(SETTLE_MILLIS);
         fleet.startServer(COLD_MILLIS);
         fleet.run(COLD_MILLIS);
@@ -51,7 +51,7 @@
     /** Leases run out in an outage: an instance that sees only itself must not take itself for a sender. */
     @Test
     void coldServerIsNotFloodedAfterListingsOfInstancesLapsed() {
-        WarmupFleet fleet = new WarmupFleet(66, Bound.ATLAS_GROWN.rate, 2);
+        SimulatedFleet fleet = new SimulatedFleet(66, Bound.ATLAS_GROWN.rate, 2);
         fleet.run(SETTLE_MILLIS);
         fleet.startServer(COLD_MILLIS);
         fleet.lapseListings();
@@ -62,11 +62,11 @@
     /** All instances started anew after their listings were removed, and read the store before the others were listed. */
     @Test
     void coldServerIsNotFloodedByInstancesThatHaveJustStarted() {
-        WarmupFleet fleet = new WarmupFleet(66, Bound.ATLAS_GROWN.rate, 3);
+        SimulatedFleet fleet = new SimulatedFleet(66, Bound.ATLAS_GROWN.rate, 3);
         fleet.run(SETTLE_MILLIS);
-        fleet.nodes.forEach(WarmupFleet.Node::stop);
+        fleet.nodes.forEach(SimulatedFleet.Node::stop);
         fleet.startServer(COLD_MILLIS);
-        fleet.nodes.forEach(WarmupFleet.Node::start);
+        fleet.nodes.forEach(SimulatedFleet.Node::start);
         fleet.run(COLD_MILLIS);
         assertBorne(fleet, Bound.ATLAS_GROWN);
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -214,7 +214,7 @@
 
     private boolean tryRetry() {
         RetryBudget budget = services.routing().budget(service);
-        boolean allowed = budget.tryRetry(now(), services.routing().instances().size());
+        boolean allowed = budget.tryRetry(now(), services.routing().share());
         if (!allowed) {
             services.metrics().count("retry-budget-empty", service.value());
         }
@@ -224,7 +224,7 @@
     private void retry(String cause, Attempt failed) {
         double left = services.routing()
                 .budget(service)
-                .remaining(now(), services.routing().instances().size());
+                .remaining(now(), services.routing().share());
         records.sentAgain(failed.record(), cause, now() - failed.sentAt, left);
         services.metrics().count("retry", cause);
         next();
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
@@ -41,6 +41,7 @@
     private final Map<ServiceName, OwnerView> owners = new HashMap<>();
     private final Admission admission = new Admission();
     private final WarmupGate warmup;
+    private final MemberStanding standing;
     private Set<InstanceId> instances;
     private RoutingConfig config;
 
@@ -48,6 +49,7 @@
         this.settings = settings;
         this.log = log;
         this.splitter = new TrafficSplitter(random);
+        this.standing = standing;
         this.instances = Set.of(settings.instance());
         this.warmup = new WarmupGate(settings.instance(), standing::established);
     }
@@ -105,6 +107,11 @@
         return instances;
     }
 
+    /** Returns the part of a bound over all instances that this one may use, from 0 to 1. */
+    double share() {
+        return standing.share(instances.size());
+    }
+
     void instances(List<InstanceId> peers) {
         Set<InstanceId> live = new TreeSet<>(peers);
         live.add(settings.instance());
