Keep no more idle connections than an instance's share

The same cause as with cold servers, by rounding up: each instance could open two connections to each backend server whatever its share was, and kept them. From 66 instances that is 132, where a server accepts 95; it resets those beyond, with the requests on them.

A fleet of more instances than connections keeps none; see docs/CAPACITY.md.

--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/WarmupFleetTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/WarmupFleetTest.java
@@ -59,7 +59,7 @@
         assertBorne(fleet, Bound.ATLAS_GROWN);
     }
 
-    /** All instances started anew after their listings were removed, and read the store before the others were listed. */
+    /** All instances started anew without listings, and read the store before the others were listed. */
     @Test
     void coldServerIsNotFloodedByInstancesThatHaveJustStarted() {
         SimulatedFleet fleet = new SimulatedFleet(66, Bound.ATLAS_GROWN.rate, 3);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -18,6 +18,7 @@
 import org.jackdawslip.internal.balance.BackendTracker;
 import org.jackdawslip.internal.balance.IdleLimit;
 import org.jackdawslip.internal.logging.EventLog;
+import org.jackdawslip.internal.membership.MemberStanding;
 import org.jackdawslip.internal.time.MonotonicClock;
 import org.jackdawslip.internal.traffic.RoutingConfig;
 import org.jackdawslip.internal.traffic.ServiceConfig;
@@ -30,8 +31,13 @@
  */
 final class BackendDirectory {
 
-    /** Connections to one server that each instance may always open, whatever its share of the limit is. */
+    /**
+     * Connections to one server that each instance may always open, whatever its share of the limit is. Those beyond
+     * its share end with their request, so they are not more than the requests that the server takes at a time.
+     */
     private static final int MIN_CONNECTIONS = 2;
+    /** Idle connections to one server that an instance keeps while it does not know how many share the limit. */
+    private static final int KEPT_WITHOUT_SHARE = 1;
     /** Part of a server's connection limit that callers use; the rest is for grants and health checks. */
     private static final double CALLER_CONNECTION_SHARE = 0.8;
 
@@ -58,6 +64,7 @@
     private final EventLoopGroup loop;
     private final MonotonicClock clock;
     private final EventLog log;
+    private final MemberStanding standing;
     private final long heartbeatMillis;
     private final Map<String, Target> byEntry = new HashMap<>();
     private final Map<BackendServerId, Target> byId = new HashMap<>();
@@ -68,10 +75,12 @@
     private int instances = 1;
     private RoutingConfig config;
 
-    BackendDirectory(EventLoopGroup loop, MonotonicClock clock, EventLog log, long heartbeatMillis) {
+    BackendDirectory(
+            EventLoopGroup loop, MonotonicClock clock, EventLog log, MemberStanding standing, long heartbeatMillis) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
+        this.standing = standing;
         this.heartbeatMillis = heartbeatMillis;
     }
 
@@ -108,6 +117,7 @@
                         backend.id(),
                         "limitMillis",
                         limitMillis),
+                () -> keptIdle(backend.service()),
                 connections(backend.service()));
         Target target = new Target(entry, tracker, pool);
         byEntry.put(entry, target);
@@ -249,6 +259,16 @@
         return Math.max(MIN_CONNECTIONS, (int) (CALLER_CONNECTION_SHARE * found.maxConnections() / instances));
     }
 
+    /** Returns how many idle connections to one server this instance keeps; those of all instances add up. */
+    private int keptIdle(ServiceName service) {
+        ServiceConfig found = config == null ? null : config.service(service);
+        if (found == null) {
+            return KEPT_WITHOUT_SHARE;
+        }
+        int part = (int) (CALLER_CONNECTION_SHARE * found.maxConnections() / instances);
+        return standing.established() ? part : Math.min(part, KEPT_WITHOUT_SHARE);
+    }
+
     void forgetPeer(InstanceId peer) {
         byEntry.values().forEach(target -> target.tracker.forgetPeer(peer));
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.function.LongConsumer;
 
 import io.netty.bootstrap.Bootstrap;
@@ -39,6 +40,7 @@
     private final Set<HttpConnection> open = new HashSet<>();
     private final IdleLimit idleLimit;
     private final LongConsumer whenShortened;
+    private final IntSupplier keptIdle;
     private int limit;
 
     /**
@@ -46,6 +48,7 @@
      *
      * @param idleLimit how long a connection may have been idle; shared with other pools of the service
      * @param whenShortened takes the new limit in milliseconds after a connection was lost because it had been idle
+     * @param keptIdle returns how many idle connections may be kept open
      */
     ConnectionPool(
             EventLoopGroup loop,
@@ -54,9 +57,11 @@
             int port,
             IdleLimit idleLimit,
             LongConsumer whenShortened,
+            IntSupplier keptIdle,
             int limit) {
         this.idleLimit = idleLimit;
         this.whenShortened = whenShortened;
+        this.keptIdle = keptIdle;
         this.loop = loop;
         this.clock = clock;
         this.address = new InetSocketAddress(host, port);
@@ -154,7 +159,11 @@
     }
 
     void idle(HttpConnection connection) {
-        idle.addLast(connection);
+        if (idle.size() < keptIdle.getAsInt()) {
+            idle.addLast(connection);
+        } else {
+            connection.close();
+        }
     }
 
     void closed(HttpConnection connection) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -87,7 +87,8 @@
         log = new EventLog(lines, settings.instance().value(), System::currentTimeMillis);
         standing = new MemberStanding(clock, Clocks.wall());
         routing = new RoutingState(settings, log, random, standing);
-        directory = new BackendDirectory(group, clock, log, settings.bounds().heartbeatMillis());
+        directory = new BackendDirectory(
+                group, clock, log, standing, settings.bounds().heartbeatMillis());
         HttpCaller caller = new HttpCaller(group, clock, CONTROL_CONNECTIONS);
         DurableStore store = makeStore.apply(caller, settings.storeAddress());
         context = new Context(settings, loop, clock, log, adapter, store);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
@@ -106,6 +106,7 @@
                     new IdleLimit(),
                     // Calls are repeated or their loss is logged by who makes them.
                     idleLimitMillis -> {},
+                    () -> connectionsPerAddress,
                     connectionsPerAddress);
         });
     }
