Take a server that could not be reached for cold when it returns

A server that crashed may start again under its id and address. Until its new listing is known, requests reach it as if it were warm, and with nothing in flight it seems free to every instance.

Change: after a connection could not be made, the server of a service without keys is presumed to be cold for its warm-up, counted from the end of the pause in which it is not tried. A server that owned keys has none after a start and runs nothing until it is listed, so its service is left out. A lost connection alone is no sign: connections are reset while servers live.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -199,6 +199,26 @@
         }
     }
 
+    /**
+     * Takes that a server could not be reached. It may start again under its id and be cold before its new listing is
+     * known here. A server that owns keys has none after a start and runs nothing until it is listed.
+     */
+    void notReached(Target target) {
+        long now = clock.millis();
+        boolean before = target.tracker.cold(now);
+        target.tracker.unreachable(now);
+        ServiceName service = target.backend().service();
+        if (!keyed(service)) {
+            target.tracker.presumeCold(target.tracker.pauseMillis() + longestColdMillis(service), now);
+            noteColdness(target, before, "not reached", now);
+        }
+    }
+
+    private boolean keyed(ServiceName service) {
+        ServiceConfig found = config == null ? null : config.service(service);
+        return found != null && found.keyed();
+    }
+
     /** Returns for how long a server may be cold before its listing tells. */
     private long longestColdMillis(ServiceName service) {
         ServiceConfig found = config == null ? null : config.service(service);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -498,7 +498,7 @@
                 target.tracker.abandoned();
                 if (failure == ExchangeFailure.NOT_CONNECTED) {
                     boolean before = target.tracker.paused(now());
-                    target.tracker.unreachable(now());
+                    services.directory().notReached(target);
                     noteAvoided(before, "it cannot be reached");
                 }
             }
