Test that instances which cannot be listed do not flood a cold server

Instances that the store answers but does not list see only themselves. Without this case the random histories passed without the standing, so they did not prove it.

--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/SimulatedFleet.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/SimulatedFleet.java
@@ -48,6 +48,7 @@
     private final PriorityQueue<Arrival> underWay = new PriorityQueue<>(Comparator.comparingLong(Arrival::at));
     private final ArrayDeque<Long> retries = new ArrayDeque<>();
     private int mostRetries;
+    private boolean takesWrites = true;
     long now;
 
     private record Arrival(long at, Server server) {}
@@ -146,7 +147,7 @@
             if (!up) {
                 return;
             }
-            if (!cutFromStore && now >= renewAt) {
+            if (!cutFromStore && takesWrites && now >= renewAt) {
                 list();
                 renewAt = now + RENEW_MILLIS;
             }
@@ -204,6 +205,11 @@
         return server;
     }
 
+    /** While it takes no writes the store answers reads, so instances that start are not listed. */
+    void takesWrites(boolean takes) {
+        takesWrites = takes;
+    }
+
     /** The store drops the listing of one instance, though its lease still seems to be valid. */
     void lapseListing(Node node) {
         members.remove(node.id);
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/WarmupFleetTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/WarmupFleetTest.java
@@ -65,7 +65,7 @@
         boolean lost = false;
         for (int step = 0; step < 40; step++) {
             SimulatedFleet.Node node = fleet.nodes.get(random.nextInt(fleet.nodes.size()));
-            switch (random.nextInt(7)) {
+            switch (random.nextInt(8)) {
                 case 0 -> node.kill();
                 case 1 -> node.stop();
                 case 2 -> node.start();
@@ -77,6 +77,7 @@
                         fleet.lapseListing(node);
                     }
                 }
+                case 6 -> fleet.takesWrites(random.nextBoolean());
                 default -> fleet.startServer(COLD_MILLIS);
             }
             fleet.run(random.nextInt(1_500));
@@ -95,6 +96,19 @@
         assertBorne(fleet, Bound.ATLAS_GROWN);
     }
 
+    /** Instances that are not listed do not see one another, and each would be among the two senders of its view. */
+    @Test
+    void coldServerIsNotFloodedByInstancesThatCannotBeListed() {
+        SimulatedFleet fleet = new SimulatedFleet(66, Bound.ATLAS_GROWN.rate, 5);
+        fleet.run(SETTLE_MILLIS);
+        fleet.nodes.forEach(SimulatedFleet.Node::stop);
+        fleet.takesWrites(false);
+        fleet.nodes.forEach(SimulatedFleet.Node::start);
+        fleet.startServer(COLD_MILLIS);
+        fleet.run(COLD_MILLIS);
+        assertBorne(fleet, Bound.ATLAS_GROWN);
+    }
+
     /** All instances started anew without listings, and read the store before the others were listed. */
     @Test
     void coldServerIsNotFloodedByInstancesThatHaveJustStarted() {
