Let only the newest attempt to be listed go on

An instance whose lease ended and whose listing was removed registers twice. The answers of both attempts could cross, so that the lease that is renewed is not the one of the listing, which then lapses after 8 s. An attempt that is no longer the newest ends.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberRecords.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberRecords.java
@@ -75,6 +75,9 @@
         long sentAt = clock.millis();
         store.lease(TERM_MILLIS, made -> {
             view.callEnded(made.status());
+            if (attempt != attempts) {
+                return;
+            }
             if (made.status() != DurableStore.Status.DONE) {
                 again(attempt, this::register, RETRY_MILLIS);
                 return;
@@ -87,6 +90,9 @@
                     new DurableStore.Change(List.of(), List.of(new DurableStore.Item(key, value, 0)), lease);
             store.change(change, written -> {
                 view.callEnded(written.status());
+                if (attempt != attempts) {
+                    return;
+                }
                 if (written.status() == DurableStore.Status.DONE) {
                     listedRevision = written.revision();
                     standing.listed(sentAt, termMillis);
