Log the age of the view, kept listings, a late event loop and late sends

The logs could not tell the hypotheses of docs/incidents/config-drain.md apart: nothing said how old the view of the store was when a change was taken, which listings were kept after what an instance took for an outage, whether the event loop was late, and whether a request was sent to a server that had begun to leave while a connection was opened.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -230,6 +230,11 @@
         return !backend.draining() && !takenOut.contains(backend.domain());
     }
 
+    /** Returns whether a request that was chosen the server may still be sent to it. */
+    boolean mayBeSent(Target target) {
+        return byEntry.get(target.entry) == target && admits(target.backend());
+    }
+
     Collection<BackendTracker> trackers(ServiceName service) {
         return byService.getOrDefault(service, Map.of()).values();
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -128,6 +128,7 @@
                 connection.close();
                 closed(connection);
             } else if (done.isSuccess()) {
+                listener.connected();
                 connection.send(request, listener);
             } else {
                 closed(connection);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeListener.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeListener.java
@@ -5,6 +5,9 @@
 /** Receives the result of one exchange with a server. Called once on the event loop, except where stated. */
 interface ExchangeListener {
 
+    /** Is called when a new connection was opened for the request, just before the request is sent. */
+    default void connected() {}
+
     /**
      * Takes an answer. The listener does not keep the answer's buffers.
      *
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -43,6 +43,10 @@
     private static final long EXPIRE_MILLIS = 1_000;
     /** Interval at which changes of the standing among the instances are logged. */
     private static final long STANDING_MILLIS = 500;
+    /** Interval at which the delay of the event loop is looked at. */
+    private static final long LOOP_CHECK_MILLIS = 250;
+    /** A delay of the event loop that is logged; it adds to the time until a change takes effect. */
+    private static final long LOOP_LATE_MILLIS = 150;
     /** Connections of control calls to one address. */
     private static final int CONTROL_CONNECTIONS = 8;
 
@@ -129,11 +133,22 @@
             view.start();
             members.register();
             keys.start();
+            checkLoop(clock.millis());
         });
         context.every(EXPIRE_MILLIS, "connections", directory::expireConnections);
         context.every(STANDING_MILLIS, "standing", this::noteStanding);
     }
 
+    /** Logs when the event loop runs tasks later than they are due. */
+    private void checkLoop(long dueAt) {
+        long lateMillis = clock.millis() - dueAt;
+        if (lateMillis > LOOP_LATE_MILLIS) {
+            log.info("loop-late", "lateMillis", lateMillis);
+        }
+        long nextAt = clock.millis() + LOOP_CHECK_MILLIS;
+        loop.schedule(() -> checkLoop(nextAt), LOOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Logs whether this instance uses its share of what all instances have in common. */
     private void noteStanding() {
         boolean before = established;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -58,7 +58,10 @@
     private boolean lost;
     private long answeredAt;
     private long returnedAt = Long.MIN_VALUE / 2;
+    private long outageMillis;
     private long retryMillis = FIRST_RETRY_MILLIS;
+    /** When the call was sent whose answer last showed all changes. */
+    private long viewedAt;
 
     PlatformView(Context context, MemberStanding standing, Consumer<PlatformEvent> listener) {
         this.store = context.store();
@@ -72,6 +75,7 @@
 
     void start() {
         answeredAt = clock.millis();
+        viewedAt = answeredAt;
         readAll();
     }
 
@@ -117,6 +121,7 @@
             return;
         }
         succeeded();
+        viewed(sentAt, "read", result);
         Set<String> present = new HashSet<>();
         for (DurableStore.Item item : result.items()) {
             present.add(item.key());
@@ -128,7 +133,6 @@
             }
         }
         followedRevision = result.revision();
-        standing.viewed(sentAt);
         if (!synced) {
             log.info("platform-synced", "revision", followedRevision, "records", present.size());
         }
@@ -159,9 +163,9 @@
                     readAll();
                     return;
                 }
+                viewed(sentAt, "watch", result);
                 result.items().forEach(this::apply);
                 followedRevision = Math.max(followedRevision, result.revision());
-                standing.viewed(sentAt);
                 loop.schedule(this::watch, gatherMillis(), TimeUnit.MILLISECONDS);
             }
             case HISTORY_GONE -> {
@@ -169,12 +173,33 @@
                 readAll();
             }
             default -> {
+                log.info("watch-unanswered", "status", result.status(), "afterMillis", clock.millis() - sentAt);
                 failed("watch", result.status());
                 loop.schedule(this::watch, retryMillis, TimeUnit.MILLISECONDS);
             }
         }
     }
 
+    /** Notes an answer that shows all changes until its call was sent, and how old the view was before it. */
+    private void viewed(long sentAt, String call, DurableStore.Result result) {
+        standing.viewed(sentAt);
+        if (!result.items().isEmpty()) {
+            log.info(
+                    "changes-taken",
+                    "call",
+                    call,
+                    "records",
+                    result.items().size(),
+                    "from",
+                    followedRevision,
+                    "to",
+                    result.revision(),
+                    "viewAgeMillis",
+                    clock.millis() - viewedAt);
+        }
+        viewedAt = sentAt;
+    }
+
     private long gatherMillis() {
         return Math.max(
                 SHORTEST_GATHER_MILLIS, Math.min(LONGEST_GATHER_MILLIS, GATHER_MILLIS_PER_INSTANCE * instances));
@@ -197,6 +222,7 @@
         }
         long wait = returnedAt + RETURN_MILLIS - clock.millis();
         if (wait > 0 && adapter.decode(item) instanceof PlatformEvent.BackendRemoved) {
+            log.info("listing-kept", "key", item.key(), "forMillis", wait, "outageMillis", outageMillis);
             loop.schedule(() -> removeIfStill(item, known), wait, TimeUnit.MILLISECONDS);
         } else {
             revisions.remove(item.key());
@@ -235,6 +261,7 @@
             lost = false;
             log.info("store-regained", "afterMillis", now - answeredAt);
             if (now - answeredAt > OUTAGE_MILLIS) {
+                outageMillis = now - answeredAt;
                 returnedAt = now;
             }
         }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -433,6 +433,13 @@
             services.peers().inFlightChanged(target);
         }
 
+        @Override
+        public void connected() {
+            if (!services.directory().mayBeSent(target)) {
+                records.sentToLeaving(record(), now() - sentAt);
+            }
+        }
+
         @Override
         public boolean answered(FullHttpResponse answer) {
             HeaderNames names = services.adapter().headers();
