Show late changes on simulated time with fleets of up to 82 instances

What callers saw: requests handled as before a change, and sent to servers that had left, after the bound.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
@@ -60,6 +60,8 @@
     private static final long HOLD_MILLIS = 7_000;
     /** Interval between renewals of a grant; with the longest takeover after it, it stays below the term. */
     private static final long GRANT_RENEW_MILLIS = 2_800;
+    /** Time for each page of a table. */
+    private static final long READ_MILLIS = 1_000;
     /** Pause after an order without an answer. */
     private static final long ORDER_RETRY_MILLIS = 300;
 
@@ -322,7 +324,7 @@
         }
 
         private void load() {
-            store.readAll(tableKey(), result -> {
+            store.readAll(tableKey(), READ_MILLIS, result -> {
                 if (!current()) {
                     return;
                 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -22,6 +22,10 @@
 
     /** Wait of one watch; a shorter one costs more calls, a longer one hides a silent connection for longer. */
     private static final long WATCH_MILLIS = 4_000;
+    /** Added to the wait of a watch before its connection counts as silent. */
+    private static final long WATCH_SLACK_MILLIS = 800;
+    /** Time for one page. The store answers within 4 ms, and within 250 ms when it is slow. */
+    private static final long PAGE_MILLIS = 1_000;
     /** Wait of one watch while the store does not answer, so that its return is noticed. */
     private static final long LOST_WATCH_MILLIS = 300;
     /**
@@ -110,7 +114,7 @@
     private void readAll() {
         if (!stopped) {
             long sentAt = clock.millis();
-            store.readAll(adapter.watchedPrefix(), result -> readDone(result, sentAt));
+            store.readAll(adapter.watchedPrefix(), PAGE_MILLIS, result -> readDone(result, sentAt));
         }
     }
 
@@ -145,7 +149,7 @@
             long mine = ++watches;
             long sentAt = clock.millis();
             long wait = lost ? LOST_WATCH_MILLIS : WATCH_MILLIS;
-            store.watch(adapter.watchedPrefix(), followedRevision, wait, result -> {
+            store.watch(adapter.watchedPrefix(), followedRevision, wait, wait + WATCH_SLACK_MILLIS, result -> {
                 if (mine == watches) {
                     watchDone(result, sentAt);
                 }
--- /dev/null
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ChangeInForceTest.java
@@ -0,0 +1,313 @@
+package org.jackdawslip.internal.gateway;
+
+import java.util.Random;
+
+import org.jackdawslip.FailureDomainId;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards against a confirmed change that is not in force in time at every instance of a fleet, whatever happens to
+ * watches, to the history and to the calls of single instances just before the change and during it.
+ */
+class ChangeInForceTest {
+
+    /** The tightest bound of a site, for changes of the configuration and for servers that leave. */
+    private static final long BOUND_MILLIS = 2_000;
+    /** Time after a change until it has to be in force, for requests on their way when it takes effect. */
+    private static final long REQUEST_MILLIS = 100;
+    /** Bounds hold for an instance from this long after the end of a fault that concerns its path to the store. */
+    private static final long CONTACT_MILLIS = 3_000;
+
+    /** Listings that lapsed in an outage are back this long after it. */
+    private static final long LISTED_AGAIN_MILLIS = 1_900;
+
+    private static final long SETTLE_MILLIS = 6_000;
+    private static final long GIVE_UP_MILLIS = 10_000;
+    private static final int[] FLEETS = {1, 12, 66, 82};
+    private static final int SEEDS = 6;
+
+    /** A change that an operator or a backend server makes. */
+    private enum Change {
+        VERSION {
+            @Override
+            Known make(SimulatedViews views, Random random) {
+                int version = views.writeConfig();
+                return instance -> instance.config != null && instance.config.version() >= version;
+            }
+        },
+        ROUTE {
+            @Override
+            Known make(SimulatedViews views, Random random) {
+                int version = views.writeConfig();
+                return instance -> instance.config != null
+                        && instance.config
+                                .route(SimulatedViews.HOST, "/v" + version + "/1")
+                                .isPresent();
+            }
+        },
+        SERVER_DRAINING {
+            @Override
+            Known make(SimulatedViews views, Random random) {
+                String entry = SimulatedViews.server(random.nextInt(100));
+                views.list(entry, true);
+                return instance -> !instance.uses(entry);
+            }
+        },
+        SERVER_GONE {
+            @Override
+            Known make(SimulatedViews views, Random random) {
+                String entry = SimulatedViews.server(random.nextInt(100));
+                views.store.delete(entry);
+                return instance -> !instance.uses(entry);
+            }
+        },
+        DOMAIN_OUT {
+            @Override
+            Known make(SimulatedViews views, Random random) {
+                views.store.put("out/b", "");
+                return instance -> instance.takenOut.contains(new FailureDomainId("b"));
+            }
+        };
+
+        /** Makes the change; the result tells whether it is in force at an instance. */
+        abstract Known make(SimulatedViews views, Random random);
+    }
+
+    private interface Known {
+        boolean inForce(SimulatedViews.Instance instance);
+    }
+
+    /** What goes wrong. The change is made during it. */
+    private enum Trouble {
+        NONE {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                change.run();
+                return 0;
+            }
+        },
+        /** Watches hear nothing for a second, in which the change is made; then the history is gone. */
+        HISTORY_DROPPED {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.store.silenceWatches(random.nextBoolean());
+                int before = random.nextInt(1_000);
+                views.store.run(before);
+                change.run();
+                views.store.run(1_000 - before);
+                views.store.compact();
+                return 0;
+            }
+        },
+        /** The same, and the change is made just after the history was dropped. */
+        HISTORY_DROPPED_BEFORE {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.store.silenceWatches(random.nextBoolean());
+                views.store.run(random.nextInt(1_000));
+                views.writeConfig();
+                views.store.run(1_000);
+                views.store.compact();
+                views.store.run(random.nextInt(1_500));
+                change.run();
+                return 0;
+            }
+        },
+        /** One instance does not get the answer to its watch, while its other calls pass. */
+        WATCH_ANSWER_LOST {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.any().client.loseWatchAnswers(1);
+                views.store.run(random.nextInt(400));
+                change.run();
+                return 0;
+            }
+        },
+        /** One call of one instance is refused at a quiet moment. */
+        CALL_REFUSED {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.any().callRefused();
+                views.store.run(random.nextInt(600));
+                change.run();
+                return 0;
+            }
+        },
+        /** The event loop of one instance is late. */
+        INSTANCE_LATE {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.any().client.late(100);
+                views.store.run(random.nextInt(3_000));
+                change.run();
+                return 0;
+            }
+        },
+        /** The store refuses one instance for a while and serves the others. */
+        INSTANCE_REFUSED {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                SimulatedViews.Instance refused = views.any();
+                refused.client.refused(true);
+                views.store.run(2_000 + random.nextInt(3_000));
+                change.run();
+                views.store.run(1_000);
+                refused.client.refused(false);
+                return 1_000 + CONTACT_MILLIS;
+            }
+        },
+        /** The store refuses every call for a while; the change is made when it has been back for long enough. */
+        STORE_AWAY_BEFORE {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.store.away(true);
+                views.store.run(1_000 + random.nextInt(4_000));
+                views.store.away(false);
+                views.store.run(CONTACT_MILLIS);
+                change.run();
+                return 0;
+            }
+        },
+        STORE_SLOW_BEFORE {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.store.slow(true);
+                views.store.run(1_000 + random.nextInt(4_000));
+                views.store.slow(false);
+                views.store.run(CONTACT_MILLIS);
+                change.run();
+                return 0;
+            }
+        };
+
+        /** Returns the earliest time after the change at which it has to be in force, if later than by the bound. */
+        abstract long around(SimulatedViews views, Random random, Runnable change);
+    }
+
+    private static void assertInForceInTime(Trouble trouble, Change change) {
+        for (int fleet : FLEETS) {
+            for (int seed = 0; seed < SEEDS; seed++) {
+                String name = fleet + " instances, seed " + seed;
+                long late = lateMillis(new SimulatedViews(fleet, new Random(seed)), new Random(seed), trouble, change);
+                assertTrue(late <= 0, () -> name + ": in force " + late + " ms too late");
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void changeIsInForceOnACalmDay(Change change) {
+        assertInForceInTime(Trouble.NONE, change);
+    }
+
+    /** A cut watch was taken for an outage, so listings that were missing in the next read stayed in use. */
+    @ParameterizedTest
+    @EnumSource
+    @Tag("known-red")
+    void changeDuringSilentWatchesIsInForceAfterTheHistoryIsGone(Change change) {
+        assertInForceInTime(Trouble.HISTORY_DROPPED, change);
+    }
+
+    /** The same for a removal within two seconds after the cut. */
+    @ParameterizedTest
+    @EnumSource
+    @Tag("known-red")
+    void changeIsInForceJustAfterTheHistoryWasDropped(Change change) {
+        assertInForceInTime(Trouble.HISTORY_DROPPED_BEFORE, change);
+    }
+
+    /** A watch without an answer was given up only after 4.8 s. */
+    @ParameterizedTest
+    @EnumSource
+    @Tag("known-red")
+    void changeIsInForceAlthoughTheAnswerToAWatchIsLost(Change change) {
+        assertInForceInTime(Trouble.WATCH_ANSWER_LOST, change);
+    }
+
+    /** One refused call while a watch had waited for a second was taken for an outage. */
+    @ParameterizedTest
+    @EnumSource
+    @Tag("known-red")
+    void changeIsInForceAfterARefusedCall(Change change) {
+        assertInForceInTime(Trouble.CALL_REFUSED, change);
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void changeIsInForceAtALateInstance(Change change) {
+        assertInForceInTime(Trouble.INSTANCE_LATE, change);
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void changeIsInForceAtAnInstanceThatWasRefused(Change change) {
+        assertInForceInTime(Trouble.INSTANCE_REFUSED, change);
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void changeIsInForceAfterTheStoreWasAway(Change change) {
+        assertInForceInTime(Trouble.STORE_AWAY_BEFORE, change);
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void changeIsInForceAfterTheStoreWasSlow(Change change) {
+        assertInForceInTime(Trouble.STORE_SLOW_BEFORE, change);
+    }
+
+    /** A server that lives lists itself again up to two seconds after an outage in which its listing lapsed. */
+    @Test
+    void lapsedListingsStayInUseUntilTheyAreBack() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Random random = new Random(seed);
+            SimulatedViews views = new SimulatedViews(66, random);
+            views.store.run(SETTLE_MILLIS);
+            views.store.away(true);
+            views.store.run(2_500 + random.nextInt(2_500));
+            views.store.delete(SimulatedViews.server(7));
+            views.store.away(false);
+            for (int elapsed = 0; elapsed < LISTED_AGAIN_MILLIS; elapsed += 10) {
+                views.store.run(10);
+                assertTrue(views.instances.stream().allMatch(each -> each.uses(SimulatedViews.server(7))));
+            }
+            views.list(SimulatedViews.server(7), false);
+            views.store.run(3_000);
+            assertTrue(views.instances.stream().allMatch(each -> each.uses(SimulatedViews.server(7))));
+        }
+    }
+
+    /** One that is still missing is gone. */
+    @Test
+    void lapsedListingsThatDoNotReturnAreRemoved() {
+        SimulatedViews views = new SimulatedViews(66, new Random(1));
+        views.store.run(SETTLE_MILLIS);
+        views.store.away(true);
+        views.store.run(4_000);
+        views.store.delete(SimulatedViews.server(7));
+        views.store.away(false);
+        views.store.run(LISTED_AGAIN_MILLIS + BOUND_MILLIS);
+        assertTrue(views.instances.stream().noneMatch(each -> each.uses(SimulatedViews.server(7))));
+    }
+
+    /** Plays one day; returns by how much the change was late at the last instance. */
+    private static long lateMillis(SimulatedViews views, Random random, Trouble trouble, Change change) {
+        views.store.run(SETTLE_MILLIS + random.nextInt(2_000));
+        long[] madeAt = new long[1];
+        Known[] known = new Known[1];
+        long excused = trouble.around(views, random, () -> {
+            madeAt[0] = views.store.now;
+            known[0] = change.make(views, random);
+        });
+        long dueAt = madeAt[0] + Math.max(BOUND_MILLIS - REQUEST_MILLIS, excused);
+        while (!views.instances.stream().allMatch(known[0]::inForce) && views.store.now < dueAt + GIVE_UP_MILLIS) {
+            views.store.run(10);
+        }
+        return views.store.now - dueAt;
+    }
+}
