End the idle connections of an address after a call without an answer

What callers saw: an instance that took no change for several seconds after its connections to the store had gone silent together.

Cause: each call took the next idle connection, so every silent one cost the time of a call until it was found out.

Evidence: HttpCallerTest failed before (the call after the first silent one had no answer either) and passes.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -184,9 +184,14 @@
         });
     }
 
-    /** Closes idle connections; exchanges that are under way complete. */
+    /** Closes idle connections and opens no more; exchanges that are under way complete. */
     void closeIdle() {
         limit = 0;
+        discardIdle();
+    }
+
+    /** Closes idle connections. */
+    void discardIdle() {
         HttpConnection connection = idle.pollLast();
         while (connection != null) {
             connection.close();
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpCaller.java
@@ -140,6 +140,11 @@
 
         private void timedOut() {
             exchange.giveUp();
+            // Connections to one address may go silent together; the next call must not use another of them.
+            ConnectionPool used = pools.get(address);
+            if (used != null) {
+                used.discardIdle();
+            }
             failed(ExchangeFailure.TIMED_OUT);
         }
 
--- /dev/null
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/HttpCallerTest.java
@@ -0,0 +1,109 @@
+package org.jackdawslip.internal.gateway;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+@Timeout(30)
+class HttpCallerTest {
+
+    private static final int IDLE_CONNECTIONS = 3;
+    private static final long TIMEOUT_MILLIS = 300;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HttpCaller caller = new HttpCaller(group, System::currentTimeMillis, 8);
+    private final AtomicInteger accepted = new AtomicInteger();
+    private final CountDownLatch waiting = new CountDownLatch(IDLE_CONNECTIONS);
+    private ServerSocket server;
+    /** Connections up to this number are answered no more. */
+    private volatile int silentUpTo;
+
+    @BeforeEach
+    void listen() throws IOException {
+        server = new ServerSocket(0, 20, InetAddress.getLoopbackAddress());
+        thread(this::accept);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        server.close();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private static void thread(Runnable task) {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                int number = accepted.incrementAndGet();
+                thread(() -> serve(socket, number));
+            }
+        } catch (IOException e) {
+            // The test has ended.
+            return;
+        }
+    }
+
+    /** Answers the first requests only when all of them have arrived, so that each has a connection of its own. */
+    private void serve(Socket socket, int number) {
+        try (socket) {
+            BufferedReader reader =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+                if (line.isEmpty() && number > silentUpTo) {
+                    waiting.countDown();
+                    waiting.await();
+                    socket.getOutputStream()
+                            .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                                    .getBytes(StandardCharsets.ISO_8859_1));
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            // The caller closed the connection.
+            return;
+        }
+    }
+
+    private CompletableFuture<HttpCaller.Answer> call() {
+        CompletableFuture<HttpCaller.Answer> answer = new CompletableFuture<>();
+        group.execute(() -> caller.call(
+                "127.0.0.1:" + server.getLocalPort(), HttpMethod.GET, "/", null, TIMEOUT_MILLIS, answer::complete));
+        return answer;
+    }
+
+    /** Connections go silent together: if each cost a call of its own, a change would be late by their number. */
+    @Test
+    void callWithoutAnAnswerEndsTheIdleConnectionsOfTheAddress() throws Exception {
+        CompletableFuture<?>[] calls = new CompletableFuture<?>[IDLE_CONNECTIONS];
+        for (int i = 0; i < calls.length; i++) {
+            calls[i] = call();
+        }
+        CompletableFuture.allOf(calls).get();
+        silentUpTo = IDLE_CONNECTIONS;
+        assertEquals(0, call().get().status());
+        assertEquals(200, call().get().status());
+    }
+}
