Send nothing to a server that began to leave while a connection was opened

What backend servers saw: requests up to 0.4 s after an instance knew that they leave, on top of the time until it knew.

Cause: a server is chosen before the connection is opened, and nothing looked again when it was there. The same for a failure domain that is taken out.

Change: the exchange asks its listener again and fails with SERVER_LEAVING, of which nothing was sent; the request goes to another server, one with a key to its next owner.

Evidence: ConnectionPoolTest ran into its time limit without the check, because the request was sent, and passes with it.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -230,8 +230,8 @@
         return !backend.draining() && !takenOut.contains(backend.domain());
     }
 
-    /** Returns whether a request that was chosen the server may still be sent to it. */
-    boolean mayBeSent(Target target) {
+    /** Returns whether the server is still listed and takes new requests. */
+    boolean takesRequests(Target target) {
         return byEntry.get(target.entry) == target && admits(target.backend());
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -127,13 +127,13 @@
                 request.release();
                 connection.close();
                 closed(connection);
-            } else if (done.isSuccess()) {
-                listener.connected();
+            } else if (done.isSuccess() && listener.maySend()) {
                 connection.send(request, listener);
             } else {
+                connection.close();
                 closed(connection);
                 request.release();
-                listener.failed(ExchangeFailure.NOT_CONNECTED);
+                listener.failed(done.isSuccess() ? ExchangeFailure.SERVER_LEAVING : ExchangeFailure.NOT_CONNECTED);
             }
         });
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeFailure.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeFailure.java
@@ -16,6 +16,13 @@
             return false;
         }
     },
+    /** The server began to leave while a connection to it was opened; nothing was sent. */
+    SERVER_LEAVING {
+        @Override
+        boolean mayHaveRun() {
+            return false;
+        }
+    },
     /** The connection ended after the request was sent. */
     CONNECTION_LOST {
         @Override
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeListener.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeListener.java
@@ -5,8 +5,13 @@
 /** Receives the result of one exchange with a server. Called once on the event loop, except where stated. */
 interface ExchangeListener {
 
-    /** Is called when a new connection was opened for the request, just before the request is sent. */
-    default void connected() {}
+    /**
+     * Returns whether the request may still be sent when a connection was opened for it. If not, the exchange fails
+     * with {@link ExchangeFailure#SERVER_LEAVING}.
+     */
+    default boolean maySend() {
+        return true;
+    }
 
     /**
      * Takes an answer. The listener does not keep the answer's buffers.
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRecords.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRecords.java
@@ -88,22 +88,6 @@
                 afterMillis);
     }
 
-    /** The server began to leave, or its failure domain was taken out, while a connection to it was opened. */
-    void sentToLeaving(Send send, long afterMillis) {
-        log.info(
-                "request-sent-to-leaving-backend",
-                "request",
-                id,
-                "route",
-                route,
-                "service",
-                service,
-                "backend",
-                send.backend(),
-                "afterMillis",
-                afterMillis);
-    }
-
     void late(Send send, long lateMillis, double serverPace) {
         log.info(
                 "request-late",
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -258,7 +258,9 @@
             if (!open.isEmpty()) {
                 return;
             }
-            if (connectFailures < MAX_CONNECT_FAILURES && keySlot < 0) {
+            // The keys of a server that leaves get another owner; those of one that cannot be reached may not.
+            boolean anotherServer = keySlot < 0 || failure == ExchangeFailure.SERVER_LEAVING;
+            if (connectFailures < MAX_CONNECT_FAILURES && anotherServer) {
                 retry(failure.name().toLowerCase(Locale.ROOT), attempt);
             } else {
                 refuse(
@@ -434,10 +436,8 @@
         }
 
         @Override
-        public void connected() {
-            if (!services.directory().mayBeSent(target)) {
-                records.sentToLeaving(record(), now() - sentAt);
-            }
+        public boolean maySend() {
+            return services.directory().takesRequests(target);
         }
 
         @Override
--- /dev/null
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
@@ -0,0 +1,78 @@
+package org.jackdawslip.internal.gateway;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import org.jackdawslip.internal.balance.IdleLimit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+@Timeout(30)
+class ConnectionPoolTest {
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    /** The server began to leave while a connection to it was opened: the request reached it after the bound. */
+    @Test
+    void requestIsNotSentToAServerThatLeavesWhileAConnectionIsOpened() throws Exception {
+        CompletableFuture<ExchangeFailure> end = new CompletableFuture<>();
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            group.execute(() -> pool(server.getLocalPort())
+                    .send(
+                            new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x/1"),
+                            new ExchangeListener() {
+                                @Override
+                                public boolean maySend() {
+                                    return false;
+                                }
+
+                                @Override
+                                public boolean answered(FullHttpResponse answer) {
+                                    throw new AssertionError("nothing was asked");
+                                }
+
+                                @Override
+                                public void failed(ExchangeFailure failure) {
+                                    end.complete(failure);
+                                }
+                            }));
+            try (Socket connection = server.accept()) {
+                assertEquals(ExchangeFailure.SERVER_LEAVING, end.get());
+                assertEquals(-1, read(connection), "bytes were sent");
+            }
+        }
+    }
+
+    /** Returns the first byte, or -1 if the connection ended without one. */
+    private static int read(Socket connection) {
+        try {
+            return connection.getInputStream().read();
+        } catch (IOException e) {
+            // The pool resets connections.
+            return -1;
+        }
+    }
+
+    private ConnectionPool pool(int port) {
+        return new ConnectionPool(
+                group, System::currentTimeMillis, "127.0.0.1", port, new IdleLimit(), limit -> {}, () -> 1, 1);
+    }
+}
