--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/membership/MemberStanding.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/membership/MemberStanding.java
@@ -16,8 +16,7 @@
 public final class MemberStanding {
 
     /**
-     * Oldest view of an established instance, in milliseconds. A watch that ends without changes after 4 s follows
-     * another, and only the start of a call proves how new its answer is.
+     * Oldest view of an established instance, in milliseconds. Only the start of a call proves how new its answer is.
      */
     public static final long VIEW_MILLIS = 10_000;
     /** Time for which a listing has to be in the store before its instance is established. */
