Bar late writes of an owner table before acting on the table that was read

Cause: the write of a table had no answer. The custodian read the previous table, renewed the grants in it, and then the store carried the write out: its condition still held. The table's new owners were granted the same keys.

Change: after a write without an answer the custodian writes the table that it read once more, under the condition of its revision, before it acts on it. Then either the late write came first and is read, or its condition no longer holds.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
@@ -2,9 +2,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -35,8 +37,9 @@
  * Competes for the role of the custodian of keys and carries out its decisions.
  *
  * <p>The role is a record of the store under a lease. Invariants: orders are sent only while the lease is certainly
- * valid; a table is written only under the condition that the record of the role and the previous table are unchanged.
- * Confined to the event loop.
+ * valid; a table is written only under the condition that the record of the role and the previous table are unchanged;
+ * a table that was read is acted upon only if no earlier write of this holder can still replace it. Confined to the
+ * event loop.
  */
 final class KeyControl {
 
@@ -89,6 +92,9 @@
     private final Consumer<KeyNotice> announcer;
     private final Map<ServiceName, KeyLoads> loads = new HashMap<>();
     private final Map<ServiceName, Keeper> keepers = new HashMap<>();
+    /** Services whose table may still be replaced by a write of this instance that had no answer. */
+    private final Set<ServiceName> unsettled = new HashSet<>();
+
     private InstanceId holder;
     private long lease;
     private long roleRevision;
@@ -252,6 +258,8 @@
         renewAt = sentAt + RENEW_MILLIS;
         rebalanceAt = clock.millis() + REBALANCE_MILLIS;
         keepers.clear();
+        // The store refuses what was written under an earlier record of the role.
+        unsettled.clear();
         log.info("custodian-role-taken", "revision", revision, "leaseMillis", made.leaseMillis());
     }
 
@@ -340,15 +348,61 @@
                         routing.owners(service).table(table, item.revision());
                     }
                 }
-                custodian = new KeyCustodian(timing(), this, table, clock.millis());
-                log.info(
-                        "owner-table-loaded",
-                        "service",
-                        service,
-                        "segments",
-                        table.segments().size(),
-                        "revision",
-                        tableRevision);
+                if (unsettled.contains(service)) {
+                    settle(table);
+                } else {
+                    follow(table);
+                }
+            });
+        }
+
+        /**
+         * Writes the table that was read once more. An earlier write without an answer may be carried out until the
+         * revision in its condition is replaced.
+         */
+        private void settle(KeyTable table) {
+            write(table, result -> {
+                log.info("owner-table-settled", "service", service, "status", result.status());
+                if (!current()) {
+                    return;
+                }
+                if (result.status() == DurableStore.Status.DONE) {
+                    tableRevision = result.revision();
+                    unsettled.remove(service);
+                    follow(table);
+                } else {
+                    keepers.remove(service);
+                }
+            });
+        }
+
+        private void follow(KeyTable table) {
+            custodian = new KeyCustodian(timing(), this, table, clock.millis());
+            log.info(
+                    "owner-table-loaded",
+                    "service",
+                    service,
+                    "segments",
+                    table.segments().size(),
+                    "revision",
+                    tableRevision);
+        }
+
+        private void write(KeyTable table, Consumer<DurableStore.Result> whenDone) {
+            saveUnderWay = true;
+            DurableStore.Change change = new DurableStore.Change(
+                    List.of(
+                            new DurableStore.Item(adapter.ownKey(ROLE), null, roleRevision),
+                            new DurableStore.Item(tableKey(), null, tableRevision)),
+                    List.of(new DurableStore.Item(tableKey(), KeyTables.encode(table), 0)),
+                    0);
+            store.change(change, result -> {
+                saveUnderWay = false;
+                view.callEnded(result.status());
+                if (result.status() == DurableStore.Status.UNKNOWN) {
+                    unsettled.add(service);
+                }
+                whenDone.accept(result);
             });
         }
 
@@ -468,16 +522,7 @@
 
         @Override
         public void save(KeyTable table) {
-            saveUnderWay = true;
-            DurableStore.Change change = new DurableStore.Change(
-                    List.of(
-                            new DurableStore.Item(adapter.ownKey(ROLE), null, roleRevision),
-                            new DurableStore.Item(tableKey(), null, tableRevision)),
-                    List.of(new DurableStore.Item(tableKey(), KeyTables.encode(table), 0)),
-                    0);
-            store.change(change, result -> {
-                saveUnderWay = false;
-                view.callEnded(result.status());
+            write(table, result -> {
                 if (!current()) {
                     return;
                 }
