Read everything after a long gap instead of watching

Cause: a watch brings every version of every record since its revision.

Change: after a gap of 2 s a failed call is followed by a read of the newest records.

Evidence: the simulated store now writes such tables and has links of 10 Mbit/s; without the rule two methods of ChangeInForceTest fail by 60 ms, with it all pass.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -26,6 +26,8 @@
     private static final long FIRST_BACKOFF_MILLIS = 100;
 
     private static final long LONGEST_BACKOFF_MILLIS = 400;
+    /** A watch brings every version of a record; after a longer gap it takes more time than reading the newest ones. */
+    private static final long LONGEST_HISTORY_MILLIS = 2_000;
     /** Largest factor by which the time for an answer grows while the store is slow. */
     private static final int MOST_PATIENCE = 4;
     /** Listings that lapsed during an outage are back about two seconds after it. */
@@ -190,10 +192,11 @@
             }
             default -> {
                 log.info("watch-unanswered", "status", result.status(), "afterMillis", tookMillis);
-                boolean silent = tookMillis >= ChangeBudget.WATCH_MILLIS;
                 // The store may withhold changes from watches, so one that was silent proves nothing about the next.
+                boolean silent = tookMillis >= ChangeBudget.WATCH_MILLIS;
+                boolean read = silent || clock.millis() - viewedAt > LONGEST_HISTORY_MILLIS;
                 long dueAt = Math.min(clock.millis(), sentAt + ChangeBudget.WATCH_MILLIS);
-                again("watch", result.status(), dueAt, silent ? this::readAll : this::watch);
+                again("watch", result.status(), dueAt, read ? this::readAll : this::watch);
             }
         }
     }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedStore.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedStore.java
@@ -20,6 +20,8 @@
     private static final long STEP_MILLIS = 2;
     private static final int PAGE = 100;
     private static final long USUAL_ANSWER_MILLIS = 4;
+    /** Bytes that the link of an instance carries in a millisecond, at 10 Mbit/s. */
+    private static final long BYTES_PER_MILLI = 1_250;
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final TreeMap<String, DurableStore.Item> items = new TreeMap<>();
@@ -184,7 +186,7 @@
                 } else if (!watch && lostReadAnswers > 0) {
                     lostReadAnswers--;
                 } else {
-                    after(answerMillis / 2 + lateMillis, () -> once.accept(result));
+                    after(answerMillis / 2 + transferMillis(result) + lateMillis, () -> once.accept(result));
                 }
             };
             after(answerMillis / 2, () -> {
@@ -196,6 +198,13 @@
             });
         }
 
+        private long transferMillis(Result result) {
+            long bytes = result.items().stream()
+                    .mapToLong(item -> item.value() == null ? 0 : item.value().length)
+                    .sum();
+            return bytes / BYTES_PER_MILLI;
+        }
+
         private void answer(long timeoutMillis, Consumer<Result> whenDone, Supplier<Result> action) {
             call(false, timeoutMillis, whenDone, answered -> answered.accept(action.get()));
         }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
@@ -36,6 +36,10 @@
     private static final ServiceName SERVICE = new ServiceName("pool");
     private static final int SERVERS = 250;
     private static final long RENEW_MILLIS = 2_500;
+    /** Interval at which the custodian of keys writes its table, and the length of a table of 600 segments. */
+    private static final long TABLE_MILLIS = 300;
+
+    private static final int TABLE_BYTES = 40_000;
 
     final SimulatedStore store = new SimulatedStore();
     final List<Instance> instances = new ArrayList<>();
@@ -51,11 +55,17 @@
         for (int i = 0; i < SERVERS; i++) {
             list(server(i), false);
         }
+        writeTable();
         for (int i = 0; i < count; i++) {
             instances.add(new Instance(new InstanceId("front-" + i), count));
         }
     }
 
+    private void writeTable() {
+        store.put("table", "x".repeat(TABLE_BYTES));
+        store.loop().schedule(this::writeTable, TABLE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Writes the next version, which adds a route named by it; earlier ones stay. */
     int writeConfig() {
         version++;
@@ -156,6 +166,8 @@
                 return new PlatformEvent.ConfigWritten(config(Integer.parseInt(text(item))));
             } else if (key.startsWith("out/")) {
                 return new PlatformEvent.DomainTakenOut(new FailureDomainId(name), item.value() != null);
+            } else if (key.equals("table")) {
+                return new PlatformEvent.Ignored(key);
             } else if (item.value() == null) {
                 return new PlatformEvent.BackendRemoved(key);
             }
