Follow a longer idle limit on connections that are open

What callers saw: a connection that the newest version allows to stay idle was closed by the limit of the version in force when it was opened.

Cause: the limit was read once for each connection.

Change: the idle event asks for the limit in force.

Evidence: GatewaySessionTest.openConnectionFollowsALongerIdleLimit fails without the change (no answer on the idle connection) and passes.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
@@ -39,6 +39,7 @@
     private final Deque<Entry> entries = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private boolean closing;
+    private long lastReadAt;
 
     CallerConnection(Services services, FrontServer server) {
         this.services = services;
@@ -48,6 +49,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext newContext) {
         context = newContext;
+        lastReadAt = services.clock().millis();
         server.opened(this);
     }
 
@@ -56,6 +58,7 @@
         if (closing) {
             return;
         }
+        lastReadAt = services.clock().millis();
         if (message.decoderResult().isFailure()) {
             Entry entry = new Entry(false, message.method());
             entries.addLast(entry);
@@ -68,7 +71,7 @@
                 message.uri(),
                 message.headers(),
                 ByteBufUtil.getBytes(message.content()),
-                services.clock().millis());
+                lastReadAt);
         Entry entry = new Entry(HttpUtil.isKeepAlive(message), message.method());
         entries.addLast(entry);
         if (entries.size() >= MAX_PIPELINED) {
@@ -137,7 +140,11 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ignored, Object event) {
-        if (event instanceof IdleStateEvent && entries.isEmpty()) {
+        // The event comes after the limit of the version at the time when the connection was opened.
+        long idleMillis = services.clock().millis() - lastReadAt;
+        if (event instanceof IdleStateEvent
+                && entries.isEmpty()
+                && idleMillis >= services.routing().limits().idleTimeoutMillis()) {
             context.close();
         }
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FrontServer.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FrontServer.java
@@ -75,9 +75,7 @@
     }
 
     private void accept(Channel channel) {
-        CallerLimits limits = services.routing().config() == null
-                ? CallerLimits.DEFAULT
-                : services.routing().config().limits();
+        CallerLimits limits = services.routing().limits();
         HttpDecoderConfig decoder = new HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.maxHeaderBytes())
                 .setMaxHeaderSize(limits.maxHeaderBytes());
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
@@ -16,6 +16,7 @@
 import org.jackdawslip.internal.keyspace.OwnerView;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MemberStanding;
+import org.jackdawslip.internal.traffic.CallerLimits;
 import org.jackdawslip.internal.traffic.HostRoute;
 import org.jackdawslip.internal.traffic.RoutingConfig;
 import org.jackdawslip.internal.traffic.TrafficSplitter;
@@ -59,6 +60,11 @@
         return config;
     }
 
+    /** Returns the limits for callers in force. */
+    CallerLimits limits() {
+        return config == null ? CallerLimits.DEFAULT : config.limits();
+    }
+
     /** Puts a configuration in force if it is newer. */
     boolean offer(RoutingConfig newer) {
         if (config != null && newer.version() <= config.version()) {
