Split the budget of a change evenly between watch and pause

Change: what the other steps leave is divided, 0.47 for the wait of the watch.

ChangeInForceTest now plays both bounds and passes.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ChangeBudget.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ChangeBudget.java
@@ -9,10 +9,8 @@
  */
 final class ChangeBudget {
 
-    /** Wait of one watch. It bounds for how long an instance relies on a watch that hears nothing. */
-    static final long WATCH_MILLIS = 400;
-    /** Time for the answer to a watch beyond its wait. The store answers within 4 ms. */
-    static final long ANSWER_MILLIS = 200;
+    /** Time for the answer to a watch beyond its wait. A slow store answers within 250 ms. */
+    static final long ANSWER_MILLIS = 300;
     /** Time for one page. A large one takes 200 ms on a link of 10 Mbit/s that callers use as well. */
     static final long PAGE_MILLIS = 400;
     /** Longest pause before a call is repeated for the first time. */
@@ -24,15 +22,9 @@
     /** Time from the decision to send a request to its arrival. */
     private static final long REQUEST_MILLIS = 50;
 
-    /** A watch without an answer, a page without an answer, the whole read again, and the request. */
-    private static final long STEPS_MILLIS = WATCH_MILLIS
-            + ANSWER_MILLIS
-            + RETRY_MILLIS
-            + PAGE_MILLIS
-            + RETRY_MILLIS
-            + READ_MILLIS
-            + LOOP_MILLIS
-            + REQUEST_MILLIS;
+    /** What follows the wait of a watch: a page without an answer, the whole read again, the request. */
+    private static final long STEPS_MILLIS =
+            ANSWER_MILLIS + RETRY_MILLIS + PAGE_MILLIS + RETRY_MILLIS + READ_MILLIS + LOOP_MILLIS + REQUEST_MILLIS;
 
     /**
      * Pause after a watch that brought changes, for each instance of the fleet, so that changes which come together
@@ -41,12 +33,24 @@
     private static final long PAUSE_MILLIS_PER_INSTANCE = 12;
 
     private static final long SHORTEST_PAUSE_MILLIS = 400;
+    /** Part of the remaining time for the wait of a watch, the rest is for the pause: both cost about as many calls. */
+    private static final double WATCH_SHARE = 0.47;
+    /** Shortest wait of a watch, for a bound that is too short for the steps. */
+    private static final long SHORTEST_WATCH_MILLIS = 100;
 
+    private final long watchMillis;
     private final long longestPauseMillis;
 
     /** Makes the budget for a bound, from the store's confirmation of a change to its effect. */
     ChangeBudget(long boundMillis) {
-        longestPauseMillis = Math.max(0, boundMillis - STEPS_MILLIS);
+        long left = Math.max(0, boundMillis - STEPS_MILLIS);
+        watchMillis = Math.max(SHORTEST_WATCH_MILLIS, Math.round(WATCH_SHARE * left));
+        longestPauseMillis = Math.max(0, left - watchMillis);
+    }
+
+    /** Returns the wait of one watch. It bounds for how long an instance relies on a watch that hears nothing. */
+    long watchMillis() {
+        return watchMillis;
     }
 
     /** Returns the pause between two watches if the first brought changes. */
@@ -62,6 +66,6 @@
 
     /** Returns the time within which a change is in force and acted upon in a fleet of the given size. */
     long worstMillis(int instances) {
-        return pauseMillis(instances) + STEPS_MILLIS;
+        return pauseMillis(instances) + watchMillis + STEPS_MILLIS;
     }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -155,8 +155,8 @@
         store.watch(
                 adapter.watchedPrefix(),
                 followedRevision,
-                ChangeBudget.WATCH_MILLIS,
-                ChangeBudget.WATCH_MILLIS + patience * ChangeBudget.ANSWER_MILLIS,
+                budget.watchMillis(),
+                budget.watchMillis() + patience * ChangeBudget.ANSWER_MILLIS,
                 newest(result -> watchDone(result, sentAt)));
     }
 
@@ -174,7 +174,7 @@
         long tookMillis = clock.millis() - sentAt;
         switch (result.status()) {
             case DONE -> {
-                followed(tookMillis - ChangeBudget.WATCH_MILLIS, ChangeBudget.ANSWER_MILLIS);
+                followed(tookMillis - budget.watchMillis(), ChangeBudget.ANSWER_MILLIS);
                 if (result.items().isEmpty() && result.revision() > followedRevision) {
                     // Every change lies below the watched prefix, so the watch missed what moved the revision.
                     log.warn("watch-missed-changes", "from", followedRevision, "to", result.revision());
@@ -193,9 +193,9 @@
             default -> {
                 log.info("watch-unanswered", "status", result.status(), "afterMillis", tookMillis);
                 // The store may withhold changes from watches, so one that was silent proves nothing about the next.
-                boolean silent = tookMillis >= ChangeBudget.WATCH_MILLIS;
+                boolean silent = tookMillis >= budget.watchMillis();
                 boolean read = silent || clock.millis() - viewedAt > LONGEST_HISTORY_MILLIS;
-                long dueAt = Math.min(clock.millis(), sentAt + ChangeBudget.WATCH_MILLIS);
+                long dueAt = Math.min(clock.millis(), sentAt + budget.watchMillis());
                 again("watch", result.status(), dueAt, read ? this::readAll : this::watch);
             }
         }
@@ -205,7 +205,8 @@
     private void again(String call, DurableStore.Status status, long dueAt, Runnable action) {
         failed(call, status, dueAt);
         failures++;
-        if (status == DurableStore.Status.UNKNOWN) {
+        // The first failure may be that of one connection, and more time for the next call would make changes late.
+        if (status == DurableStore.Status.UNKNOWN && failures > 1) {
             patience = Math.min(MOST_PATIENCE, 2 * patience);
         }
         int doublings = Math.min(failures - 2, Integer.numberOfTrailingZeros(MOST_PATIENCE));
