Notice sooner that the store answers one instance again

What callers would see: after an instance had got no answers for a while, servers that had left stayed in use at it for 3.6 s, beyond the 3 s after which the bound holds again.

Cause: found by reading the change. The time for an answer grew to 1.6 s, and the pause of 0.4 s came on top, so the return was noticed up to 2 s late, and missing listings are kept for 1.9 s from then. A failed call of another part could also replace a read by a watch that hears nothing.

Change: the time for an answer at most doubles; the pause counts from the moment at which the failed call was sent; a read under way is not replaced.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -22,14 +22,14 @@
  */
 final class PlatformView {
 
-    /** First and longest pause after repeated failures. */
-    private static final long FIRST_BACKOFF_MILLIS = 100;
+    /** Shortest pause between two calls, and longest time from one to the next, after repeated failures. */
+    private static final long SHORTEST_BACKOFF_MILLIS = 100;
 
     private static final long LONGEST_BACKOFF_MILLIS = 400;
     /** A watch brings every version of a record; after a longer gap it takes more time than reading the newest ones. */
     private static final long LONGEST_HISTORY_MILLIS = 2_000;
-    /** Largest factor by which the time for an answer grows while the store is slow. */
-    private static final int MOST_PATIENCE = 4;
+    /** Largest factor by which the time for an answer grows; while it runs, the store's return goes unnoticed. */
+    private static final int MOST_PATIENCE = 2;
     /** Listings that lapsed during an outage are back about two seconds after it. */
     private static final long RETURN_MILLIS = 1_900;
     /** A listing lapses after three heartbeats without a renewal, the first of which may be before the outage. */
@@ -57,6 +57,9 @@
     private boolean synced;
     private boolean stopped;
     private boolean lost;
+    /** Whether the call that follows the store, or the next one, is a read. */
+    private boolean reading;
+
     private long answeredAt;
     /** Since when no call was answered, if the store is lost. */
     private long failingSince;
@@ -99,7 +102,7 @@
         if (status == DurableStore.Status.UNKNOWN || status == DurableStore.Status.REFUSED) {
             boolean noticed = !lost;
             failed("call", status, clock.millis());
-            if (noticed && synced) {
+            if (noticed && synced && !reading) {
                 // The watch under way may hang until its wait is over; a new one takes its place.
                 watch();
             }
@@ -119,13 +122,14 @@
     }
 
     private void readAll() {
+        reading = true;
         long sentAt = clock.millis();
         store.readAll(adapter.watchedPrefix(), patience * ChangeBudget.PAGE_MILLIS, newest(result -> {
             if (result.status() == DurableStore.Status.DONE) {
                 followed(clock.millis() - sentAt, ChangeBudget.PAGE_MILLIS);
                 readDone(result, sentAt);
             } else {
-                again("read", result.status(), sentAt, this::readAll);
+                again("read", result.status(), sentAt, sentAt, this::readAll);
             }
         }));
     }
@@ -151,6 +155,7 @@
     }
 
     private void watch() {
+        reading = false;
         long sentAt = clock.millis();
         store.watch(
                 adapter.watchedPrefix(),
@@ -196,22 +201,26 @@
                 boolean silent = tookMillis >= budget.watchMillis();
                 boolean read = silent || clock.millis() - viewedAt > LONGEST_HISTORY_MILLIS;
                 long dueAt = Math.min(clock.millis(), sentAt + budget.watchMillis());
-                again("watch", result.status(), dueAt, read ? this::readAll : this::watch);
+                again("watch", result.status(), sentAt, dueAt, read ? this::readAll : this::watch);
             }
         }
     }
 
     /** Continues after a call that failed. */
-    private void again(String call, DurableStore.Status status, long dueAt, Runnable action) {
+    private void again(String call, DurableStore.Status status, long sentAt, long dueAt, Runnable action) {
         failed(call, status, dueAt);
         failures++;
         // The first failure may be that of one connection, and more time for the next call would make changes late.
         if (status == DurableStore.Status.UNKNOWN && failures > 1) {
-            patience = Math.min(MOST_PATIENCE, 2 * patience);
+            patience = MOST_PATIENCE;
         }
-        int doublings = Math.min(failures - 2, Integer.numberOfTrailingZeros(MOST_PATIENCE));
-        long pause = failures == 1 ? firstRetryMillis : FIRST_BACKOFF_MILLIS << doublings;
-        later(action, Math.min(LONGEST_BACKOFF_MILLIS, pause));
+        later(action, failures == 1 ? firstRetryMillis : backoffMillis(clock.millis() - sentAt));
+    }
+
+    /** Returns the pause after repeated failures, of which the last call took this long. */
+    private long backoffMillis(long tookMillis) {
+        long interval = Math.min(LONGEST_BACKOFF_MILLIS, SHORTEST_BACKOFF_MILLIS * failures);
+        return Math.max(SHORTEST_BACKOFF_MILLIS, interval - tookMillis);
     }
 
     private void later(Runnable action, long millis) {
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ChangeInForceTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ChangeInForceTest.java
@@ -195,6 +195,20 @@
                 return CONTACT_MILLIS - since;
             }
         },
+        /** The same, and the calls of the instance were not answered instead of refused. */
+        INSTANCE_SILENT_BEFORE {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                SimulatedViews.Instance unanswered = views.any();
+                unanswered.client.silent(true);
+                views.store.run(3_000 + random.nextInt(6_000));
+                unanswered.client.silent(false);
+                int since = random.nextInt(1_500);
+                views.store.run(since);
+                change.run();
+                return CONTACT_MILLIS - since;
+            }
+        },
         /** The store refuses every call for a while; the change is made when it has been back for long enough. */
         STORE_AWAY_BEFORE {
             @Override
@@ -295,6 +309,13 @@
         assertInForceInTime(Trouble.INSTANCE_REFUSED_BEFORE, change);
     }
 
+    /** An instance that got no answers waited longer for each, and noticed late that it gets some again. */
+    @ParameterizedTest
+    @EnumSource
+    void changeIsInForceAtAnInstanceThatIsAnsweredAgain(Change change) {
+        assertInForceInTime(Trouble.INSTANCE_SILENT_BEFORE, change);
+    }
+
     @ParameterizedTest
     @EnumSource
     void changeIsInForceAfterTheStoreWasAway(Change change) {
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedStore.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedStore.java
@@ -145,6 +145,7 @@
     /** The store as one instance reaches it. */
     final class Client implements DurableStore {
         private boolean refused;
+        private boolean silent;
         private int lostWatchAnswers;
         private int lostReadAnswers;
         private long lateMillis;
@@ -154,6 +155,11 @@
             refused = refuse;
         }
 
+        /** While set, no call of this instance is answered; those that are made meanwhile never are. */
+        void silent(boolean unanswered) {
+            silent = unanswered;
+        }
+
         /** Loses the answers of the next watches, the one under way included; other calls pass. */
         void loseWatchAnswers(int count) {
             lostWatchAnswers = count;
@@ -180,6 +186,9 @@
                 }
             };
             after(timeoutMillis + lateMillis, () -> once.accept(Result.of(Status.UNKNOWN)));
+            if (silent) {
+                return;
+            }
             Consumer<Result> answered = result -> {
                 if (watch && lostWatchAnswers > 0) {
                     lostWatchAnswers--;
