Log how much was sent to a failure domain until it was known to be out

Instances that the store refuses go on sending to a domain that was taken out. If a server of it is cold meanwhile and warm again when they learn of both, no line of theirs shows that they sent to it: a send to a server that is taken to be warm has no line, and backend-cold is logged only if the server is still cold. domain-taken-out and domain-brought-back now carry sentInLastSecond, the requests to servers of the domain in the second before, as backend-cold and backend-listed do.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -184,10 +184,15 @@
         if (!changed) {
             return;
         }
-        log.info(out ? "domain-taken-out" : "domain-brought-back", "domain", domain);
+        long now = clock.millis();
+        log.info(
+                out ? "domain-taken-out" : "domain-brought-back",
+                "domain",
+                domain,
+                "sentInLastSecond",
+                recentSends(domain, now));
         if (!out) {
             // Its servers may be cold, and their listings may tell so only later.
-            long now = clock.millis();
             for (Target target : byEntry.values()) {
                 if (target.backend().domain().equals(domain)) {
                     boolean wasCold = target.tracker.cold(now);
@@ -199,6 +204,13 @@
         }
     }
 
+    private int recentSends(FailureDomainId domain, long now) {
+        return byEntry.values().stream()
+                .filter(target -> target.backend().domain().equals(domain))
+                .mapToInt(target -> target.tracker.recentSends(now))
+                .sum();
+    }
+
     /**
      * Takes that a server could not be reached. It may start again under its id and be cold before its new listing is
      * known here. A server that owns keys has none after a start and runs nothing until it is listed.
