Show that instances that the store refuses flood a cold server

ColdUnannouncedFleetTest plays this: the store refuses a third of the instances, the domain is taken out, and the fastest server turns cold in place 4 s later. The test is listed as known red.

--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/ColdUnannouncedFleetTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/ColdUnannouncedFleetTest.java
@@ -137,6 +137,24 @@
         load.assertBorne(worstBroughtBack(load, instances, Store.REFUSES_A_THIRD));
     }
 
+    /** Only instances that the store refused still used the domain, and had its server nearly to themselves. */
+    @ParameterizedTest
+    @CsvSource({"RECHECK, 66", "RECHECK, 300", "LOOPCHECK, 82"})
+    @Tag("known-red")
+    void serverOfADomainThatIsOutIsNotFloodedByInstancesThatTheStoreRefuses(Load load, int instances) {
+        int worst = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            UnannouncedColdFleet fleet = load.settled(instances, 1, seed);
+            fleet.store(Store.REFUSES_A_THIRD);
+            fleet.takeOut(fleet.fastest().domain);
+            fleet.run(OUT_MILLIS);
+            fleet.fastest().turnCold();
+            fleet.run(UnannouncedColdFleet.COLD_MILLIS);
+            worst = Math.max(worst, fleet.worst());
+        }
+        load.assertBorne(worst);
+    }
+
     /** All requests for a hot key go to one server, and each instance admits them by its own view of the load. */
     @ParameterizedTest
     @CsvSource({"66, ANSWERS", "66, SILENT", "66, REFUSES_A_THIRD", "82, SLOW", "300, ANSWERS"})
