Read the store through another instance while it does not serve this one

What callers would see: for as long as the platform's store refuses some instances, or does not answer them, these sent requests by an old version of the configuration, to servers that leave and to failure domains that are taken out.

Cause: an instance learns changes by its own calls to the store alone and acts on its last view without a bound. Ruled out: another budget for the existing calls, because none of them is answered; versions and views told by peers, which would be as old as the peer's belief and the way together and need a bound each.

Change: FailoverReader stands between PlatformView and the store. After a call that failed, a call goes to the store and to a peer, at once if it was refused, after 60 ms if the store is silent. StoreRelay at the peer makes the same call at the store when it arrives and returns the answer as it came. Once a second, and after a renewal that succeeded, a call goes to the store as well, so that the own path is used again. Reads are split from DurableStore as StoreReader, so that writes and leases cannot be relayed; the names of calls stay in platform/. While the store is read through a peer, failed renewals say nothing new (PlatformView.callEnded), and the instance does not try to be the custodian.

Why it works: an answer through a peer was made by the store after the call began, so the view is as fresh as by an own call, and MemberStanding.viewed holds. An answer below a known revision is not taken. The 450 ms that the budget has for a lost page bear the 60 ms and two peers that do not know yet that the store does not answer them. A peer that is not served refuses at once, so an outage for all costs the store no further call.

StoreRelaySessionTest (503, reset, silent) waits in vain for the new route if no peer is asked, and passes. The calls of a fleet of 82 that the store refuses as a whole stay within those of its pauses and renewals.

Run: ChangeInForceTest, FailoverReaderTest, ChangeBudgetTest, HttpCallerTest, StoreRelaySessionTest, GatewaySessionTest, PlatformBoundaryTest, FormatsTest.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/DurableStore.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/DurableStore.java
@@ -8,7 +8,7 @@
  *
  * <p>Confined to the event loop.
  */
-public interface DurableStore {
+public interface DurableStore extends StoreReader {
 
     /** How a call ended. */
     enum Status {
@@ -58,21 +58,6 @@
      */
     record Change(List<Item> conditions, List<Item> writes, long lease) {}
 
-    /**
-     * Reads all records below a prefix, page by page. The revision is the one before the first page.
-     *
-     * @param timeoutMillis time for each page, after which the result is {@link Status#UNKNOWN}
-     */
-    void readAll(String prefix, long timeoutMillis, Consumer<Result> whenDone);
-
-    /**
-     * Waits for changes below a prefix after a revision.
-     *
-     * @param waitMillis time after which the store answers without changes
-     * @param timeoutMillis time after which the result is {@link Status#UNKNOWN}
-     */
-    void watch(String prefix, long afterRevision, long waitMillis, long timeoutMillis, Consumer<Result> whenDone);
-
     /** Carries out a change. */
     void change(Change change, Consumer<Result> whenDone);
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -59,6 +59,8 @@
     private final RoutingState routing;
     private final BackendDirectory directory;
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final FailoverReader reader;
+    private final StoreRelay relay;
     private final PlatformView view;
     private final MemberRecords members;
     private final KeyControl keys;
@@ -93,7 +95,10 @@
         HttpCaller caller = new HttpCaller(group, clock, CONTROL_CONNECTIONS);
         DurableStore store = makeStore.apply(caller, settings.storeAddress());
         context = new Context(settings, loop, clock, log, adapter, store);
-        view = new PlatformView(context, standing, this::apply);
+        HttpCaller peerCaller = new HttpCaller(group, clock, CONTROL_CONNECTIONS);
+        reader = new FailoverReader(context, peer -> makeStore.apply(peerCaller, peer), peerCaller::forget);
+        relay = new StoreRelay(context, new HttpCaller(group, clock, StoreRelay.MOST_CALLS), reader::direct);
+        view = new PlatformView(context, reader, standing, this::apply);
         members = new MemberRecords(context, view, standing, this::membersChanged);
         LeaseGuard guard = new LeaseGuard(clock, Clocks.wall());
         keys = new KeyControl(context, routing, directory, view, guard, caller, random, this::announce);
@@ -124,6 +129,7 @@
                 group, address(settings.metricsAddress()), path -> new StatusServer.Page(200, metrics.text()));
         front.start(address(settings.callerAddress()));
         peers.start(address(settings.peerAddress()));
+        relay.start(group, address(settings.peerAddress()));
         registerGauges();
         loop.execute(() -> {
             log.info("started", "domain", settings.domain(), "store", settings.storeAddress());
@@ -173,6 +179,9 @@
                 () -> routing.config() == null ? 0 : routing.config().version());
         metrics.gauge("member.established", () -> established ? 1 : 0);
         metrics.gauge("store.lost", () -> view.lost() ? 1 : 0);
+        metrics.gauge("store.direct", () -> reader.direct() ? 1 : 0);
+        metrics.gauge("store.answers.through.peers", reader::relayed);
+        metrics.gauge("store.calls.for.peers", relay::relayed);
     }
 
     private void announce(KeyNotice notice) {
@@ -222,6 +231,7 @@
 
     private void membersChanged(Map<InstanceId, PeerExchange.Peer> live) {
         peers.peers(live);
+        reader.peers(live);
         routing.instances(List.copyOf(live.keySet()));
         Set<InstanceId> instances = routing.instances();
         directory.instances(instances.size());
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewaySettings.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewaySettings.java
@@ -10,7 +10,7 @@
  * @param domain its failure domain
  * @param callerAddress where callers connect, as host and port
  * @param readinessAddress where the load balancer asks for readiness, as host and port
- * @param peerAddress where peers send datagrams, as host and port
+ * @param peerAddress where peers send datagrams and, over TCP, reads of the store, as host and port
  * @param metricsAddress where metrics are served, as host and port
  * @param storeAddress the platform's store, as host and port
  * @param bounds what the platform guarantees and demands
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
@@ -214,7 +214,7 @@
         if (!claiming
                 && holder == null
                 && view.synced()
-                && !view.lost()
+                && view.servedDirectly()
                 && !keyedServices().isEmpty()) {
             claiming = true;
             loop.schedule(this::claim, random.nextInt(CLAIM_SPREAD_MILLIS), TimeUnit.MILLISECONDS);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -87,7 +87,7 @@
     /**
      * Another instance. Immutable and thread-safe.
      *
-     * @param address where it takes datagrams
+     * @param address where it takes datagrams and reads of the store
      * @param near whether it is in the own failure domain
      */
     record Peer(InetSocketAddress address, boolean near) {}
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformAdapter.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformAdapter.java
@@ -13,6 +13,9 @@
     /** Returns the names of headers. */
     HeaderNames headers();
 
+    /** Returns whether a GET of this path and query only reads the store, as it is when the call arrives. */
+    boolean readsStore(String uri);
+
     /** Decodes a record of the store, or its removal. */
     PlatformEvent decode(DurableStore.Item item);
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -15,10 +15,10 @@
 /**
  * Keeps what the platform's store says current: reads everything once, then follows the changes.
  *
- * <p>While the store does not answer, the last view holds. Listings that are missing when it returns are kept for a
- * moment, because servers whose listing lapsed meanwhile need time to write it again. Invariant: while the store
- * answers, a change is known here within the times of {@link ChangeBudget}, whatever happens to one call. Confined to
- * the event loop.
+ * <p>While the store is not reached, neither directly nor through a peer ({@link FailoverReader}), the last view holds.
+ * Listings that are missing when it returns are kept for a moment, because servers whose listing lapsed meanwhile need
+ * time to write it again. Invariant: while the store is reached, a change is known here within the times of
+ * {@link ChangeBudget}, whatever happens to one call. Confined to the event loop.
  */
 final class PlatformView {
 
@@ -35,7 +35,7 @@
     /** A listing lapses after three heartbeats without a renewal, the first of which may be before the outage. */
     private static final int LAPSE_HEARTBEATS = 2;
 
-    private final DurableStore store;
+    private final FailoverReader reader;
     private final PlatformAdapter adapter;
     private final EventLoop loop;
     private final MonotonicClock clock;
@@ -73,8 +73,8 @@
     /** When the call was sent whose answer last showed all changes. */
     private long viewedAt;
 
-    PlatformView(Context context, MemberStanding standing, Consumer<PlatformEvent> listener) {
-        this.store = context.store();
+    PlatformView(Context context, FailoverReader reader, MemberStanding standing, Consumer<PlatformEvent> listener) {
+        this.reader = reader;
         this.adapter = context.adapter();
         this.loop = context.loop();
         this.clock = context.clock();
@@ -97,9 +97,15 @@
         stopped = true;
     }
 
-    /** Records the result of any other call to the store, so that an outage is noticed while a watch waits. */
+    /**
+     * Records the result of any other call to the store, so that an outage is noticed while a watch waits. While the
+     * store is read through a peer, a failure says nothing new.
+     */
     void callEnded(DurableStore.Status status) {
         if (status == DurableStore.Status.UNKNOWN || status == DurableStore.Status.REFUSED) {
+            if (!reader.direct()) {
+                return;
+            }
             boolean noticed = !lost;
             failed("call", status, clock.millis());
             if (noticed && synced && !reading) {
@@ -107,6 +113,7 @@
                 watch();
             }
         } else {
+            reader.otherCallServed();
             succeeded();
         }
     }
@@ -116,15 +123,20 @@
         return synced;
     }
 
-    /** Returns whether the store does not answer at present. */
+    /** Returns whether the store is not reached at present, neither directly nor through a peer. */
     boolean lost() {
         return lost;
     }
 
+    /** Returns whether the store serves the calls of this instance itself, as far as is known. */
+    boolean servedDirectly() {
+        return !lost && reader.direct();
+    }
+
     private void readAll() {
         reading = true;
         long sentAt = clock.millis();
-        store.readAll(adapter.watchedPrefix(), patience * ChangeBudget.PAGE_MILLIS, newest(result -> {
+        reader.readAll(adapter.watchedPrefix(), patience * ChangeBudget.PAGE_MILLIS, newest(result -> {
             if (result.status() == DurableStore.Status.DONE) {
                 followed(clock.millis() - sentAt, ChangeBudget.PAGE_MILLIS);
                 readDone(result, sentAt);
@@ -157,7 +169,7 @@
     private void watch() {
         reading = false;
         long sentAt = clock.millis();
-        store.watch(
+        reader.watch(
                 adapter.watchedPrefix(),
                 followedRevision,
                 budget.watchMillis(),
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ChangeInForceTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ChangeInForceTest.java
@@ -1,5 +1,7 @@
 package org.jackdawslip.internal.gateway;
 
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.Random;
 
 import org.jackdawslip.FailureDomainId;
@@ -7,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
@@ -29,6 +32,21 @@
     /** Watches hear nothing for this long before they are cut. */
     private static final int SILENT_MILLIS = 1_200;
 
+    /** The store refuses some instances for this long on standard days. */
+    private static final int PARTIAL_MILLIS = 9_000;
+
+    /** Bounds are longer by this time while the store does not serve all instances. */
+    private static final long STRETCH_MILLIS = 5_000;
+
+    /** After this time every instance knows that the store does not serve it. */
+    private static final long AWAY_NOTICED_MILLIS = 1_000;
+    /** Longest interval of calls to follow the store while it refuses them. */
+    private static final long LONGEST_BACKOFF_MILLIS = 400;
+    /** Interval of renewals while they are refused. */
+    private static final long RENEW_AGAIN_MILLIS = 500;
+
+    private static final double CUT_LINKS = 0.2;
+
     private static final long GIVE_UP_MILLIS = 10_000;
     private static final int[] FLEETS = {1, 12, 66, 82, 300};
     private static final int SEEDS = 6;
@@ -231,6 +249,62 @@
                 change.run();
                 return 0;
             }
+        },
+        /** The store refuses a third of the instances, and the change is made at any time meanwhile. */
+        THIRD_REFUSED {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.third(PARTIAL_MILLIS, SimulatedStore.Client::refused);
+                views.store.run(random.nextInt(PARTIAL_MILLIS));
+                change.run();
+                return 0;
+            }
+        },
+        /** The same, and the change is made at about the time at which the refusal begins. */
+        THIRD_REFUSED_JUST_NOW {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.third(PARTIAL_MILLIS, SimulatedStore.Client::refused);
+                views.store.run(random.nextInt(500));
+                change.run();
+                return 0;
+            }
+        },
+        /** The store answers no call of a third of the instances. */
+        THIRD_SILENT {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.third(PARTIAL_MILLIS, SimulatedStore.Client::silent);
+                views.store.run(random.nextInt(PARTIAL_MILLIS));
+                change.run();
+                return views.boundMillis + ChangeBudget.PAGE_MILLIS;
+            }
+        },
+        THIRD_SILENT_JUST_NOW {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.third(PARTIAL_MILLIS, SimulatedStore.Client::silent);
+                views.store.run(random.nextInt(500));
+                change.run();
+                return views.boundMillis + ChangeBudget.PAGE_MILLIS;
+            }
+        },
+        /** The store does not serve a third of the instances, and a part of the links between instances is cut. */
+        THIRD_REFUSED_LINKS_CUT {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.cutLinks(CUT_LINKS);
+                THIRD_REFUSED.around(views, random, change);
+                return views.boundMillis + STRETCH_MILLIS;
+            }
+        },
+        THIRD_SILENT_LINKS_CUT {
+            @Override
+            long around(SimulatedViews views, Random random, Runnable change) {
+                views.cutLinks(CUT_LINKS);
+                THIRD_SILENT_JUST_NOW.around(views, random, change);
+                return views.boundMillis + STRETCH_MILLIS;
+            }
         };
 
         /** Returns the earliest time after the change at which it has to be in force, if later than by the bound. */
@@ -328,6 +402,79 @@
         assertInForceInTime(Trouble.STORE_SLOW_BEFORE, change);
     }
 
+    /** An instance that the store refused kept its last view until the store served it again. */
+    @ParameterizedTest
+    @EnumSource
+    void changeIsInForceAtAThirdThatIsRefused(Change change) {
+        assertInForceInTime(Trouble.THIRD_REFUSED, change);
+        assertInForceInTime(Trouble.THIRD_REFUSED_JUST_NOW, change);
+    }
+
+    /** The same for instances whose calls were not answered. */
+    @ParameterizedTest
+    @EnumSource
+    void changeIsInForceAtAThirdThatGetsNoAnswers(Change change) {
+        assertInForceInTime(Trouble.THIRD_SILENT, change);
+        assertInForceInTime(Trouble.THIRD_SILENT_JUST_NOW, change);
+    }
+
+    /** A peer that is not reached, or not served itself, is followed by another. */
+    @ParameterizedTest
+    @EnumSource(names = {"VERSION", "SERVER_GONE"})
+    void changeIsInForceAlthoughSomePeersAreNotReached(Change change) {
+        assertInForceInTime(Trouble.THIRD_REFUSED_LINKS_CUT, change);
+        assertInForceInTime(Trouble.THIRD_SILENT_LINKS_CUT, change);
+    }
+
+    /** Instances that are not served must not all ask the same peer, which refuses what is beyond its limit. */
+    @Test
+    void instancesThatAreNotServedSpreadOverTheOthers() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            SimulatedViews views = new SimulatedViews(82, BOUNDS_MILLIS[1], new Random(seed));
+            views.store.run(SETTLE_MILLIS);
+            views.third(PARTIAL_MILLIS, SimulatedStore.Client::refused);
+            views.store.run(PARTIAL_MILLIS);
+            int most = views.mostCallsForPeers;
+            assertTrue(most > 0 && most < StoreRelay.MOST_CALLS / 2, () -> "one instance made " + most + " calls");
+        }
+    }
+
+    /** Calls through peers must not add to the load of a store that serves no instance. */
+    @Test
+    void storeThatServesNoInstanceGetsNoCallsThroughPeers() {
+        SimulatedViews views = new SimulatedViews(82, BOUNDS_MILLIS[0], new Random(1));
+        views.store.run(SETTLE_MILLIS);
+        views.store.away(true);
+        views.store.run(AWAY_NOTICED_MILLIS);
+        views.mostCallsForPeers = 0;
+        int before = views.store.calls;
+        views.store.run(PARTIAL_MILLIS);
+        int calls = views.store.calls - before;
+        assertEquals(0, views.mostCallsForPeers);
+        long most = 82 * PARTIAL_MILLIS / LONGEST_BACKOFF_MILLIS + 82 * PARTIAL_MILLIS / RENEW_AGAIN_MILLIS;
+        assertTrue(calls <= most, () -> calls + " calls, not " + most);
+    }
+
+    /** Refused renewals while reads pass were taken for an outage again and again. */
+    @Test
+    void readsThroughAPeerAreToldOnce() {
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        SimulatedViews views = new SimulatedViews(3, BOUNDS_MILLIS[0], new Random(1), log);
+        views.store.run(SETTLE_MILLIS);
+        views.third(PARTIAL_MILLIS, SimulatedStore.Client::refused);
+        views.store.run(PARTIAL_MILLIS + CONTACT_MILLIS);
+        views.endLog();
+        String text = log.toString(StandardCharsets.UTF_8);
+        assertEquals(1, count(text, "store-reads-relayed"));
+        assertEquals(1, count(text, "store-reads-direct"));
+        assertTrue(count(text, "store-lost") <= 1, text);
+        assertEquals(0, count(text, "listing-kept"));
+    }
+
+    private static long count(String log, String event) {
+        return log.lines().filter(line -> line.contains(event)).count();
+    }
+
     /** A server that lives lists itself again up to two seconds after an outage in which its listing lapsed. */
     @Test
     void lapsedListingsStayInUseUntilTheyAreBack() {
