Bound the length of the texts that are matched as IP addresses

What would be seen: an instance answers nothing and follows no change for seconds at a time, again with each heartbeat of one entry, and again at each start, because the entry is read with the others. The load balancer and the platform take it for one that hangs.

Cause: Addresses.isIpAddress matches "[0-9a-fA-F:.]*:[0-9a-fA-F:.]*", which takes the square of the length when the text holds many colons and ends with another character. Another writer can put 50,000 colons into "address" of an entry under servers/, and the entry is decoded on the event loop.

Ruled out: deep nesting (JSON is read without recursion and refused beyond 1,000 levels) and long numbers (refused beyond 1,000 digits); both are decoded at once.

The longest text of an address has 45 characters, so no valid one is refused, and a match of 45 characters takes no time.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/json/Addresses.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/json/Addresses.java
@@ -7,12 +7,18 @@
 
     private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
     private static final Pattern FOUR = Pattern.compile(OCTET + "(\\." + OCTET + "){3}");
+    /** Length of the longest text of an address; matching takes the square of the length. */
+    private static final int MAX_LENGTH = 45;
+
     private static final Pattern SIX = Pattern.compile("[0-9a-fA-F:.]*:[0-9a-fA-F:.]*");
 
     private Addresses() {}
 
     /** Returns whether the text is an IP address of version 4 or 6. */
     public static boolean isIpAddress(String text) {
+        if (text.length() > MAX_LENGTH) {
+            return false;
+        }
         if (FOUR.matcher(text).matches()) {
             return true;
         }
