Look up no host names for the listings of instances

What would be seen: a record under the product's own prefix that another writer put there holds up an instance for as long as a name server takes to answer, or adds a peer to which no datagram can be sent, in each of up to 430 datagrams a second.

Cause: MemberRecords made an InetSocketAddress from whatever text stood before the colon, which looks a host name up on the event loop, and took port 0 and "+80". Ports that are negative or beyond 65535 were refused already.

Evidence, before: ForeignRecordTest.oddRecordsOfTheProductNameNoPeer "expected: <[]> but was: <[127.0.0.1:0 a, 127.0.0.1:+80 a, front.example:80 a, :80 a]>", the records that were listed as members. How long a lookup takes was not measured.

A listing names a peer only if it holds an IP address and a port now, which is what instances write.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberRecords.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberRecords.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import org.jackdawslip.InstanceId;
 import org.jackdawslip.JackdawslipException;
+import org.jackdawslip.internal.json.Addresses;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MemberStanding;
 import org.jackdawslip.internal.time.MonotonicClock;
@@ -179,7 +180,15 @@
             throw new IllegalArgumentException("\"" + text + "\" has no failure domain");
         }
         boolean near = text.substring(separator + 1).equals(settings.domain().value());
-        return new PeerExchange.Peer(address(text.substring(0, separator)), near);
+        String address = text.substring(0, separator);
+        int colon = address.lastIndexOf(':');
+        // A host name would be looked up on the event loop.
+        if (colon < 0
+                || Addresses.port(address.substring(colon + 1)) < 0
+                || !Addresses.isIpAddress(address.substring(0, colon))) {
+            throw new IllegalArgumentException("\"" + address + "\" is not an address");
+        }
+        return new PeerExchange.Peer(address(address), near);
     }
 
     static InetSocketAddress address(String text) {
