Go on after a fault without a stack trace and after deep recursion

What would be seen: an instance follows no change any more, or one of its repeated tasks has ended, and no line says so.

Cause: the handlers that keep a fault in one record or task from ending everything logged e.getStackTrace()[0]. The JVM leaves the trace out of an exception that compiled code throws often, as it does when an odd entry is written again with each heartbeat, and the handler itself failed. A StackOverflowError passed the handlers, because it is an error.

No entry is known that leads there: records are decoded without recursion, and what is odd in them is an exception that is caught earlier.

Evidence, before: FaultToleranceTest.recordsAreFollowedAfterAFaultInOne "expected: <[first, second, third, fourth]> but was: <[first]>" and taskIsRepeatedAfterAFault "expected: <10> but was: <1>", both for EXCEPTION_WITHOUT_A_TRACE and DEEP_RECURSION; EXCEPTION passed.

The log takes the place of a fault from the trace if there is one. Other errors, such as a lack of memory, still pass: nothing that was under way can be relied on after them.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Context.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Context.java
@@ -30,8 +30,8 @@
                 () -> {
                     try {
                         action.run();
-                    } catch (RuntimeException e) {
-                        log.warn("internal-fault", "task", name, "problem", e, "at", e.getStackTrace()[0]);
+                    } catch (RuntimeException | StackOverflowError e) {
+                        log.fault(name, e);
                     }
                 },
                 intervalMillis,
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -305,8 +305,8 @@
     private void tell(DurableStore.Item item) {
         try {
             listener.accept(adapter.decode(item));
-        } catch (RuntimeException e) {
-            log.warn("internal-fault", "task", "record " + item.key(), "problem", e, "at", e.getStackTrace()[0]);
+        } catch (RuntimeException | StackOverflowError e) {
+            log.fault("record " + item.key(), e);
         }
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/logging/EventLog.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/logging/EventLog.java
@@ -40,6 +40,12 @@
         write("warn", event, fields);
     }
 
+    /** Writes that a task failed. The JVM leaves out the stack trace of an exception that is thrown often. */
+    public void fault(String task, Throwable problem) {
+        StackTraceElement[] trace = problem.getStackTrace();
+        warn("internal-fault", "task", task, "problem", problem, "at", trace.length == 0 ? null : trace[0]);
+    }
+
     private void write(String level, String event, Object... fields) {
         long now = clock.getAsLong();
         Budget budget = budgets.computeIfAbsent(event, name -> new Budget());
--- /dev/null
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FaultToleranceTest.java
@@ -0,0 +1,159 @@
+package org.jackdawslip.internal.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import org.jackdawslip.FailureDomainId;
+import org.jackdawslip.InstanceId;
+import org.jackdawslip.internal.balance.LoadReport;
+import org.jackdawslip.internal.keyspace.KeySegment;
+import org.jackdawslip.internal.logging.BoundedLines;
+import org.jackdawslip.internal.logging.EventLog;
+import org.jackdawslip.internal.membership.MemberStanding;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Guards against a fault in one record or task that ends the following of records or the repetition of tasks. */
+class FaultToleranceTest {
+
+    private static final long SETTLE_MILLIS = 3_000;
+    private static final long INTERVAL_MILLIS = 50;
+
+    /** What goes wrong in the handling of one record. */
+    private enum Fault {
+        EXCEPTION {
+            @Override
+            void occur() {
+                throw new IllegalStateException("odd record");
+            }
+        },
+        /** The JVM leaves out the stack trace of an exception that is thrown often. */
+        EXCEPTION_WITHOUT_A_TRACE {
+            @Override
+            void occur() {
+                throw new WithoutTrace();
+            }
+        },
+        DEEP_RECURSION {
+            @Override
+            void occur() {
+                throw new StackOverflowError();
+            }
+        };
+
+        abstract void occur();
+    }
+
+    private static final class WithoutTrace extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        WithoutTrace() {
+            super("odd record", null, false, false);
+        }
+    }
+
+    private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    private final BoundedLines lines = new BoundedLines(new PrintStream(log, true, StandardCharsets.UTF_8));
+    private final SimulatedStore store = new SimulatedStore();
+
+    private Context context(PlatformAdapter adapter) {
+        GatewaySettings settings = new GatewaySettings(
+                new InstanceId("front"),
+                new FailureDomainId("a"),
+                "",
+                "",
+                "",
+                "",
+                "",
+                new GatewaySettings.Bounds(1_000, 6_000, 0.2, 60, 10_000, 10_000, 2_000));
+        EventLog events = new EventLog(lines, "front", () -> store.now);
+        return new Context(settings, store.loop(), () -> store.now, events, adapter, store.new Client());
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void recordsAreFollowedAfterAFaultInOne(Fault fault) {
+        List<String> taken = new ArrayList<>();
+        PlatformView view = new PlatformView(
+                context(new AnyRecord()), new MemberStanding(() -> store.now, () -> store.now), event -> {
+                    String key = ((PlatformEvent.Ignored) event).key();
+                    if (key.startsWith("odd")) {
+                        fault.occur();
+                    }
+                    taken.add(key);
+                });
+        store.put("first", "");
+        store.put("odd-1", "");
+        store.put("second", "");
+        view.start();
+        store.run(SETTLE_MILLIS);
+        store.put("odd-2", "");
+        store.put("third", "");
+        store.run(SETTLE_MILLIS);
+        store.put("fourth", "");
+        store.run(SETTLE_MILLIS);
+        assertEquals(List.of("first", "second", "third", "fourth"), taken);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void taskIsRepeatedAfterAFault(Fault fault) {
+        List<Long> runs = new ArrayList<>();
+        context(new AnyRecord()).every(INTERVAL_MILLIS, "task", () -> {
+            runs.add(store.now);
+            fault.occur();
+        });
+        store.run(10 * INTERVAL_MILLIS);
+        assertEquals(10, runs.size());
+    }
+
+    /** Takes every record as one that names nothing. */
+    private static final class AnyRecord implements PlatformAdapter {
+
+        @Override
+        public PlatformEvent decode(DurableStore.Item item) {
+            return new PlatformEvent.Ignored(item.key());
+        }
+
+        @Override
+        public String watchedPrefix() {
+            return "";
+        }
+
+        @Override
+        public HeaderNames headers() {
+            throw new UnsupportedOperationException("no requests are sent");
+        }
+
+        @Override
+        public String ownKey(String name) {
+            return name;
+        }
+
+        @Override
+        public String ownName(String key) {
+            return key;
+        }
+
+        @Override
+        public LoadReport load(HttpHeaders headers) {
+            return null;
+        }
+
+        @Override
+        public ControlCall grant(KeySegment segment, long holdMillis, String handover) {
+            throw new UnsupportedOperationException("no orders are sent");
+        }
+
+        @Override
+        public ControlCall release(KeySegment segment) {
+            throw new UnsupportedOperationException("no orders are sent");
+        }
+    }
+}
