Read no owner table with figures out of range

What would be seen: a table that another writer put in the place of the product's names owners that nobody granted, or lets tokens fall: 2^32 counted as slot 0, texts and null as 0, and 1e400 as the highest token. A custodian that loaded a table that cannot be read did nothing and logged nothing; the exception ended a connection to the store instead.

Cause: KeyTables converted figures without looking at their type and range, and KeyControl did not expect the exception when it loads a table.

Each figure has to be a whole number in range. A custodian that loads an unreadable table says so and waits for the next revision of the record, as before: tokens must rise, so it cannot start from an empty table.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyControl.java
@@ -14,6 +14,7 @@
 import io.netty.channel.EventLoop;
 import org.jackdawslip.BackendServerId;
 import org.jackdawslip.InstanceId;
+import org.jackdawslip.JackdawslipException;
 import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.balance.Backend;
 import org.jackdawslip.internal.balance.BackendTracker;
@@ -343,8 +344,14 @@
                 KeyTable table = KeyTable.empty();
                 for (DurableStore.Item item : result.items()) {
                     if (item.key().equals(tableKey())) {
-                        table = KeyTables.decode(item.value());
                         tableRevision = item.revision();
+                        try {
+                            table = KeyTables.decode(item.value());
+                        } catch (JackdawslipException e) {
+                            // Tokens must rise, so nothing is granted until the record is in order; then it is loaded.
+                            log.warn("owner-table-unreadable", "service", service, "problem", e.getMessage());
+                            return;
+                        }
                         routing.owners(service).table(table, item.revision());
                     }
                 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyTables.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyTables.java
@@ -59,16 +59,22 @@
             List<KeySegment> segments = new ArrayList<>();
             for (JsonNode entry : root.required("segments")) {
                 segments.add(new KeySegment(
-                        entry.required(0).asInt(),
-                        entry.required(1).asInt(),
+                        Math.toIntExact(whole(entry.required(0))),
+                        Math.toIntExact(whole(entry.required(1))),
                         new BackendServerId(entry.required(2).asText()),
-                        entry.required(3).asLong(),
-                        new FencingToken(entry.required(4).asLong())));
+                        whole(entry.required(3)),
+                        new FencingToken(whole(entry.required(4)))));
             }
-            return new KeyTable(
-                    segments, new FencingToken(root.required("nextToken").asLong()));
-        } catch (IOException | IllegalArgumentException e) {
+            return new KeyTable(segments, new FencingToken(whole(root.required("nextToken"))));
+        } catch (IOException | IllegalArgumentException | ArithmeticException e) {
             throw new JackdawslipException(ErrorCode.INVALID_ARGUMENT, "not an owner table: " + e.getMessage(), e);
         }
     }
+
+    private static long whole(JsonNode figure) {
+        if (!figure.isIntegralNumber() || !figure.canConvertToLong()) {
+            throw new IllegalArgumentException("a figure is not a whole number in range");
+        }
+        return figure.longValue();
+    }
 }
--- /dev/null
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/KeyTablesTest.java
@@ -0,0 +1,69 @@
+package org.jackdawslip.internal.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.jackdawslip.BackendServerId;
+import org.jackdawslip.FencingToken;
+import org.jackdawslip.JackdawslipException;
+import org.jackdawslip.internal.keyspace.KeySegment;
+import org.jackdawslip.internal.keyspace.KeyTable;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Guards against an owner table that is read otherwise than it was written. */
+class KeyTablesTest {
+
+    private static final KeyTable TABLE = new KeyTable(
+            List.of(
+                    new KeySegment(0, 99, new BackendServerId("k-1"), 17, new FencingToken(3)),
+                    new KeySegment(100, 65_535, new BackendServerId("k-2"), 1L << 41, new FencingToken(1L << 40))),
+            new FencingToken(1L << 41));
+
+    @Test
+    void tableIsReadAsItWasWritten() {
+        KeyTable read = KeyTables.decode(KeyTables.encode(TABLE));
+        assertEquals(TABLE.segments(), read.segments());
+        assertEquals(TABLE.nextToken(), read.nextToken());
+    }
+
+    /** Figures beyond the range wrapped around, and texts counted as 0: such a table named owners that nobody granted. */
+    @Test
+    void figuresOutOfRangeAreRefused() {
+        String text = new String(KeyTables.encode(TABLE), StandardCharsets.UTF_8);
+        List<String> taken = new ArrayList<>();
+        for (String figure : new String[] {
+            "4294967296",
+            "18446744073709551616",
+            "1e400",
+            "0.5",
+            "-1",
+            "\"0\"",
+            "null",
+            "9".repeat(2_000),
+            "[".repeat(5_000)
+        }) {
+            for (String field : new String[] {"[[0,", "\"k-1\",17,3", "\"nextToken\":" + (1L << 41)}) {
+                String replacement = field.startsWith("[[")
+                        ? "[[" + figure + ","
+                        : field.startsWith("\"k") ? "\"k-1\",17," + figure : "\"nextToken\":" + figure;
+                boolean fitsLong = figure.equals("4294967296") && !field.startsWith("[[");
+                if (!fitsLong && isTable(text.replace(field, replacement))) {
+                    taken.add(replacement);
+                }
+            }
+        }
+        assertEquals(List.of(), taken);
+    }
+
+    private static boolean isTable(String text) {
+        try {
+            KeyTables.decode(text.getBytes(StandardCharsets.UTF_8));
+            return true;
+        } catch (JackdawslipException e) {
+            return false;
+        }
+    }
+}
