Take no refusal for an answer that may be a copy of an earlier one

What callers saw: a faulty server wrote a refusal a second time on a kept connection. At-most-once requests that a server ran were answered 503, "not run", or ran at a second server as well.

Cause: an answer that names no request was taken for the answer to the open one. Refusals need not name theirs, and their connection was used again, so a copy that came after the next request was sent passed for its refusal.

Ruled out: copies that name the earlier request (they are dropped, and the answer is awaited), copies that come together with the first (surplus bytes end the connection) and while the connection is idle (any byte does).

Why this works: a connection ends with a refusal that names no request, and bytes that are under way on it then reach nobody. After a refusal that names its request the connection is kept, which costs nothing; from then on a refusal without a name on it proves nothing and counts as a lost answer: 502, or another send if the request may be repeated. On a connection without an earlier refusal there is nothing to copy, so a true refusal leads to another server as before (trueRefusalsStillLeadToAnotherServer).

The other way, to end a connection after every refusal, costs a new connection for each request that a full server refuses. What it would gain is a server that names some requests in its refusals and not others.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -267,6 +267,11 @@
             listener.failed(failure);
         }
 
+        /** Takes a refusal; see {@link HttpConnection#refused}. */
+        boolean refused(boolean named) {
+            return connection.refused(named);
+        }
+
         /** Aborts the exchange: its connection is closed and its listener is not called any more. */
         void giveUp() {
             givenUp = true;
@@ -309,7 +314,8 @@
             if (exchange.givenUp) {
                 free(free);
             } else if (refusal != null) {
-                free(free);
+                // A copy of a refusal that names no request would be taken for the answer to the next one.
+                discard(free);
                 exchange.fail(refusal);
             } else if (free.usable(now())) {
                 proceed(free, exchange, true);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -36,6 +36,9 @@
     private boolean headRequest;
     private boolean reusable = true;
     private boolean broken;
+    /** Whether the server refused a request here; it may write that refusal again, at any later moment. */
+    private boolean refusalRead;
+
     private long idleSince = NEVER;
     private long idleMillis;
     private long sentAt;
@@ -59,6 +62,20 @@
         return headRequest;
     }
 
+    /**
+     * Takes that the answer to the open request is a refusal. The connection ends after one that does not name its
+     * request, because a second copy would pass for the answer to the next request.
+     *
+     * @param named whether the refusal names the open request
+     * @return whether the refusal is certainly not a copy of an earlier one
+     */
+    boolean refused(boolean named) {
+        boolean certain = named || !refusalRead;
+        refusalRead = true;
+        reusable &= named;
+        return certain;
+    }
+
     void opened(Channel open) {
         channel = open;
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -479,6 +479,14 @@
             }
             int status = answer.status().code();
             if (answer.headers().contains(names.notExecuted()) || status == STATUS_MISDIRECTED) {
+                if (!exchange.refused(echoed != null)) {
+                    records.otherAnswer(record(), "a refusal without an id");
+                    target.tracker.failed();
+                    if (!finished) {
+                        lost(this, ExchangeFailure.MALFORMED_ANSWER);
+                    }
+                    return true;
+                }
                 if (status == STATUS_MISDIRECTED) {
                     boolean before = target.tracker.paused(now());
                     denied(now());
