Give session tests ports that no outgoing connection can take

Cause, by reading: Session let the system choose a free port, closed it and bound it when the instance started, which may be seconds later. The system gives ports of the same range (32768 to 60999) to outgoing connections, of which a session opens many, and 37497 is one of them. The collision itself was not repeated.

The ports of instances come from 20000 to 31999 now, as in the tests of the platform module, and so does the port at which the test of "status" expects nobody. Other sessions on the machine may still take one of them; the tests of both modules choose at random. DrainSessionTest.coldBackendServerIsNotOverloaded restarts a server on a port of the system and tries until it is free; it is unchanged.

--- a/jackdawslip-cli/src/test/java/org/jackdawslip/cli/CommandLineTest.java
+++ b/jackdawslip-cli/src/test/java/org/jackdawslip/cli/CommandLineTest.java
@@ -3,9 +3,7 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -19,6 +17,7 @@
 import com.sun.net.httpserver.HttpServer;
 import org.jackdawslip.ErrorCode;
 import org.jackdawslip.JackdawslipException;
+import org.jackdawslip.session.FreePorts;
 import org.jackdawslip.standins.StoreServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -194,10 +193,7 @@
     void statusNamesSilentAndBehindInstances() throws IOException {
         HttpServer one = instance("{\"instance\":\"a\",\"bundleVersion\":7}");
         HttpServer two = instance("{\"instance\":\"b\",\"bundleVersion\":6}");
-        int silent;
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            silent = socket.getLocalPort();
-        }
+        int silent = FreePorts.next();
         Result result =
                 run("status", "--admin", address(one), "--admin", address(two), "--admin", "127.0.0.1:" + silent);
         one.stop(0);
--- /dev/null
+++ b/jackdawslip-cli/src/test/java/org/jackdawslip/session/FreePortsTest.java
@@ -0,0 +1,31 @@
+package org.jackdawslip.session;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+class FreePortsTest {
+
+    private static final Path OUTGOING = Path.of("/proc/sys/net/ipv4/ip_local_port_range");
+
+    /** An instance could not bind its peer address, because an outgoing connection had got the port meanwhile. */
+    @Test
+    void portsAreNotThoseOfOutgoingConnections() throws IOException {
+        assumeTrue(Files.isReadable(OUTGOING));
+        int first;
+        // The system hands this file out in one read only.
+        try (BufferedReader reader = Files.newBufferedReader(OUTGOING)) {
+            first = Integer.parseInt(reader.readLine().split("\\s+")[0]);
+        }
+        for (int i = 0; i < 100; i++) {
+            int port = FreePorts.next();
+            assertTrue(port < first, "port " + port + " is not below " + first);
+        }
+    }
+}
--- a/jackdawslip-cli/src/test/java/org/jackdawslip/session/Session.java
+++ b/jackdawslip-cli/src/test/java/org/jackdawslip/session/Session.java
@@ -1,8 +1,6 @@
 package org.jackdawslip.session;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -62,10 +60,12 @@
         // The list holds real ports, which would lead around the links.
         store.listFrozen(true);
         for (String name : names) {
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                peerPorts.put(name, free.getLocalPort());
-                owners.put(free.getLocalPort(), name);
+            int port = FreePorts.next();
+            while (owners.containsKey(port)) {
+                port = FreePorts.next();
             }
+            peerPorts.put(name, port);
+            owners.put(port, name);
         }
         for (String from : names) {
             links.put(from + ">store", new Link(store.port(), null, null));
