--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FaultToleranceTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FaultToleranceTest.java
@@ -80,8 +80,15 @@
     @EnumSource(Fault.class)
     void recordsAreFollowedAfterAFaultInOne(Fault fault) {
         List<String> taken = new ArrayList<>();
-        PlatformView view = new PlatformView(
-                context(new AnyRecord()), new MemberStanding(() -> store.now, () -> store.now), event -> {
+        Context context = context(new AnyRecord());
+        FailoverReader reader = new FailoverReader(
+                context,
+                peer -> {
+                    throw new AssertionError("no peer is known");
+                },
+                peer -> {});
+        PlatformView view =
+                new PlatformView(context, reader, new MemberStanding(() -> store.now, () -> store.now), event -> {
                     String key = ((PlatformEvent.Ignored) event).key();
                     if (key.startsWith("odd")) {
                         fault.occur();
@@ -131,6 +138,11 @@
             throw new UnsupportedOperationException("no requests are sent");
         }
 
+        @Override
+        public boolean readsStore(String uri) {
+            throw new UnsupportedOperationException("nothing is relayed");
+        }
+
         @Override
         public String ownKey(String name) {
             return name;
