--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -181,7 +181,6 @@
         lastAttempt = attempt;
         sends++;
         open.add(attempt);
-        mayHaveRun++;
         server.chosen();
         services.peers().inFlightChanged(attempt.target);
         offered = true;
@@ -194,7 +193,7 @@
 
     /** Sends the request to a second server because the first takes unusually long. */
     private void hedge() {
-        if (finished || open.isEmpty() || mayHaveRun >= route.maxAttempts()) {
+        if (finished || open.isEmpty() || attempts() >= route.maxAttempts()) {
             return;
         }
         BackendTracker server = choice.next();
@@ -227,8 +226,13 @@
         next();
     }
 
+    /** Returns the sends that may have run and those that are still to come. */
+    private int attempts() {
+        return mayHaveRun + (int) open.stream().filter(attempt -> !attempt.sent).count();
+    }
+
     private boolean attemptsLeft() {
-        return mayHaveRun < route.maxAttempts() && refusals < EXTRA_SENDS && now() < deadlineAt;
+        return attempts() < route.maxAttempts() && refusals < EXTRA_SENDS && now() < deadlineAt;
     }
 
     private void refusedByServer(Attempt attempt, int status) {
@@ -250,7 +254,6 @@
 
     private void lost(Attempt attempt, ExchangeFailure failure) {
         if (!failure.mayHaveRun()) {
-            mayHaveRun--;
             if (failure != ExchangeFailure.WITHDRAWN) {
                 connectFailures++;
             }
@@ -389,7 +392,10 @@
     private final class Attempt implements ExchangeListener {
         private final BackendDirectory.Target target;
         private final FullHttpRequest forwarded;
-        private final long sentAt;
+        /** When the request was sent; until then, when the server was chosen. */
+        private long sentAt;
+
+        private boolean sent;
         private final double expectedMillis;
         /** Whether all slots of the server seemed taken when the request was sent. */
         private final boolean queued;
@@ -414,7 +420,7 @@
 
         void giveUp() {
             end();
-            if (now() - sentAt > OVERDUE_FACTOR * expectedMillis) {
+            if (sent && now() - sentAt > OVERDUE_FACTOR * expectedMillis) {
                 boolean before = target.tracker.paused(now());
                 target.tracker.silent(now());
                 noteAvoided(before, "answers are overdue");
@@ -439,12 +445,15 @@
         @Override
         public SendStep beforeSend(boolean alive) {
             long now = now();
-            if (!services.directory().takesRequests(target) || now >= deadlineAt) {
+            if (finished || !services.directory().takesRequests(target) || now >= deadlineAt) {
                 return SendStep.WITHDRAW;
             }
             boolean cold = target.tracker.cold(now);
             SendStep step = choice.beforeSend(target.tracker, alive, now);
             if (step == SendStep.SEND) {
+                sent = true;
+                sentAt = now;
+                mayHaveRun++;
                 target.tracker.sent(now);
                 forwarded.headers().set(services.adapter().headers().remainingMillis(), Math.max(1, deadlineAt - now));
                 if (cold) {
