Take no loss after a question for one of an idle connection

A review: the question about the server's state ends the idle time of a connection, so a request that was lost right after it had been idle for nothing, and the idle limit of the service fell to 0.1 s for 10 s. GatewaySessionTest.lossOfARequestAfterAnAnswerDoesNotShortenTheIdleLimit failed before ("expected: <true> but was: <false>") and passes.

From the same review, by reading: a server whose answers this instance took too late is not avoided for it, one that answers as ill is heard, an address that refuses the question with another status than that of a full server belongs to another one, and connections that are discarded free their place at once.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -120,8 +120,8 @@
     private void proceed(HttpConnection connection, Exchange exchange, boolean alive) {
         exchange.connection = connection;
         switch (exchange.listener.beforeSend(alive)) {
-            case SEND -> connection.send(exchange.takeRequest(), exchange.listener, this::free);
-            case ASK -> ask(connection, exchange);
+            case SEND -> connection.send(exchange.takeRequest(), exchange.listener, alive, this::free);
+            case ASK -> ask(connection, exchange, alive);
             case WITHDRAW -> {
                 free(connection);
                 exchange.fail(ExchangeFailure.WITHDRAWN);
@@ -131,15 +131,15 @@
     }
 
     /** Asks the server for its state on the connection that will carry the request. */
-    private void ask(HttpConnection connection, Exchange exchange) {
+    private void ask(HttpConnection connection, Exchange exchange, boolean alive) {
         if (exchange.questions == MAX_QUESTIONS) {
             free(connection);
-            exchange.fail(ExchangeFailure.NO_STATEMENT);
+            exchange.fail(ExchangeFailure.LATE_STATEMENT);
             return;
         }
         exchange.questions++;
         Question question = new Question(connection, exchange);
-        connection.send(exchange.listener.question().request(), question, question::answerTaken);
+        connection.send(exchange.listener.question().request(), question, alive, question::answerTaken);
     }
 
     private HttpConnection takeIdle() {
@@ -231,7 +231,7 @@
     void discardIdle() {
         HttpConnection connection = idle.pollLast();
         while (connection != null) {
-            connection.close();
+            discard(connection);
             connection = idle.pollLast();
         }
     }
@@ -326,10 +326,7 @@
         }
 
         private void timedOut() {
-            if (!exchange.givenUp) {
-                discard(connection);
-                failed(ExchangeFailure.TIMED_OUT);
-            }
+            failed(ExchangeFailure.TIMED_OUT);
         }
 
         @Override
@@ -338,6 +335,7 @@
             if (exchange.givenUp) {
                 return;
             }
+            discard(connection);
             if (usedBefore) {
                 // Servers drop idle connections without a word, and the others may have been dropped as well.
                 discardIdle();
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeFailure.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeFailure.java
@@ -30,6 +30,13 @@
             return false;
         }
     },
+    /** The server told its state, but this instance took the answers too late to rely on them; nothing was sent. */
+    LATE_STATEMENT {
+        @Override
+        boolean mayHaveRun() {
+            return false;
+        }
+    },
     /** The server had no room for the question about its state; the request was not sent. */
     SERVER_FULL {
         @Override
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -88,14 +88,19 @@
     /**
      * Sends a request. The connection takes over the reference to it.
      *
+     * @param alive whether the connection is new or the server has just answered on it
      * @param newWhenAnswered takes the connection after an answer, whether or not it may be used again
      */
-    void send(FullHttpRequest request, ExchangeListener newListener, Consumer<HttpConnection> newWhenAnswered) {
+    void send(
+            FullHttpRequest request,
+            ExchangeListener newListener,
+            boolean alive,
+            Consumer<HttpConnection> newWhenAnswered) {
         listener = newListener;
         whenAnswered = newWhenAnswered;
         headRequest = request.method().equals(HttpMethod.HEAD);
         sentAt = pool.now();
-        idleMillis = idleSince == NEVER ? NEVER : sentAt - idleSince;
+        idleMillis = alive ? NEVER : sentAt - idleSince;
         channel.writeAndFlush(request, channel.voidPromise());
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StateQuestion.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StateQuestion.java
@@ -15,7 +15,13 @@
  */
 final class StateQuestion {
 
+    private static final int STATUS_WELL = 200;
     private static final int STATUS_MISDIRECTED = 421;
+    private static final int STATUS_LIMITED = 429;
+    /** Without the statement that the question was refused, the server says that it leaves or fails. */
+    private static final int STATUS_ILL = 503;
+
+    private static final int STATUS_FULL = STATUS_ILL;
 
     private final Services services;
     private final BackendDirectory.Target target;
@@ -47,16 +53,19 @@
     ExchangeFailure take(FullHttpResponse answer, long askedAt) {
         HeaderNames names = services.adapter().headers();
         HttpHeaders headers = answer.headers();
+        int status = answer.status().code();
+        if (headers.contains(names.notExecuted()) && (status == STATUS_FULL || status == STATUS_LIMITED)) {
+            return ExchangeFailure.SERVER_FULL;
+        }
         String answering = headers.get(names.serverId());
-        if (answer.status().code() == STATUS_MISDIRECTED
+        if (status == STATUS_MISDIRECTED
+                || headers.contains(names.notExecuted())
                 || answering != null && !answering.equals(target.backend().id().value())) {
             return ExchangeFailure.OTHER_SERVER;
         }
-        if (headers.contains(names.notExecuted())) {
-            return ExchangeFailure.SERVER_FULL;
-        }
+        // A server that says that it is ill tells its warm-up as well, and may serve.
         long remainingMillis = remainingMillis(headers.get(names.warmupRemainingMillis()));
-        if (answering == null || remainingMillis < 0) {
+        if (status != STATUS_WELL && status != STATUS_ILL || remainingMillis < 0) {
             return ExchangeFailure.NO_STATEMENT;
         }
         long now = services.clock().millis();
