Serve callers of an instance that takes answers late, and refuse at once what has no reach

A statement is now relied on by one request only, so that its age at the send is usually the few milliseconds of an answer, and for that the limit of its age can be 250 ms: at the usual load of the fastest server 42 x 0.25 + 6 = 16.5 would arrive even if all event loops were late by that. An owner that was not reached twice in a row is asked after its pause only. The question names the server that it is for.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
@@ -42,13 +42,15 @@
     /** Overdue answers in a row before a server is avoided; one may be a long request. */
     private static final int SILENCES_BEFORE_PAUSE = 2;
     /**
-     * Time for which a server's statement that it is warm is relied on, in milliseconds. A server may turn cold at any
-     * moment, and what all instances send to it within this time has to stay below what it bears.
+     * Age up to which an answer by which a server states that it is warm is relied on, in milliseconds. Answers take a
+     * few milliseconds; this much is for a late event loop or a packet that is lost once.
      */
-    public static final long STATEMENT_MILLIS = 100;
+    public static final long STATEMENT_MILLIS = 250;
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
+    /** Failures to reach a server in a row after which it is asked only after a pause; one may be a lost packet. */
+    private static final int FAILURES_BEFORE_PAUSE = 2;
     /** Time over which sends are counted, in milliseconds; a cold server bears a number of requests a second. */
     private static final long RECENT_MILLIS = 1_000;
 
@@ -68,23 +70,14 @@
     private long statedColdUntil = NEVER;
     /** When the server was asked last of those times that it said it is cold. */
     private long statedColdAt = NEVER;
-    /** Statements that the server is warm, the oldest first. */
-    private final ArrayDeque<WarmStatement> warmStatements = new ArrayDeque<>();
+    /** When the server was asked for those statements that it is warm on which no request relied yet. */
+    private final ArrayDeque<Long> warmStatements = new ArrayDeque<>();
 
     private long pausedUntil = Long.MIN_VALUE;
     private long pauseMillis;
     private int silences;
     private int denials;
-
-    /** One statement of the server that it is warm, and how many requests relied on it. */
-    private static final class WarmStatement {
-        final long askedAt;
-        int uses;
-
-        WarmStatement(long askedAt) {
-            this.askedAt = askedAt;
-        }
-    }
+    private int failuresToReach;
 
     /** Starts to track a server. */
     public BackendTracker(Backend backend, long now) {
@@ -108,33 +101,26 @@
     }
 
     /**
-     * Takes what the server itself states of its warm-up. It goes before the listing, which may be older.
+     * Takes what the server itself states of its warm-up.
      *
      * @param remainingMillis how much longer the server is cold; 0 if it is warm
      * @param askedAt when the server was asked; its state may have changed since
      */
     public void stated(long remainingMillis, long askedAt, long now) {
+        failuresToReach = 0;
         if (remainingMillis > 0) {
             statedColdUntil = Math.max(statedColdUntil, now + remainingMillis);
             statedColdAt = Math.max(statedColdAt, askedAt);
             warmStatements.clear();
         } else if (askedAt > statedColdAt) {
-            warmStatements.addLast(new WarmStatement(askedAt));
+            warmStatements.addLast(askedAt);
         }
     }
 
-    /**
-     * Returns whether a request may rely on a recent statement that the server is warm, and counts its use.
-     *
-     * @param mostUses requests that may rely on one statement
-     */
-    public boolean relyOnWarmStatement(int mostUses, long now) {
-        warmStatements.removeIf(statement -> now - statement.askedAt > STATEMENT_MILLIS || statement.uses >= mostUses);
-        if (warmStatements.isEmpty()) {
-            return false;
-        }
-        warmStatements.peekFirst().uses++;
-        return true;
+    /** Returns whether a request may rely on a recent statement that the server is warm. No other request may then. */
+    public boolean takeWarmStatement(long now) {
+        warmStatements.removeIf(askedAt -> now - askedAt > STATEMENT_MILLIS);
+        return warmStatements.pollFirst() != null;
     }
 
     /** Returns whether the server is known to be cold. */
@@ -244,6 +230,17 @@
         pausedUntil = now + pauseMillis;
     }
 
+    /** Takes that the server could not be reached, or did not tell its state. */
+    public void notReached(long now) {
+        failuresToReach++;
+        unreachable(now);
+    }
+
+    /** Returns whether the server was not reached several times in a row, so that it is asked only after a pause. */
+    public boolean outOfReach(long now) {
+        return failuresToReach >= FAILURES_BEFORE_PAUSE && paused(now);
+    }
+
     /** Returns whether the server could not be reached shortly before. */
     public boolean paused(long now) {
         return now < pausedUntil;
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/WarmupGate.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/WarmupGate.java
@@ -12,9 +12,8 @@
  * Decides whether one instance may send a request to a backend server that may be cold.
  *
  * <p>A server may turn cold at any moment, and its listing tells so seconds later or, while the store does not answer,
- * not at all. Nothing would bound what instances send until then. So a request is sent only on the server's own
- * statement that it is warm, not older than {@link BackendTracker#STATEMENT_MILLIS}, or as one of the few that a cold
- * server bears.
+ * not at all. Nothing would bound what instances send until then. So each request is sent on a recent statement of the
+ * server that it is warm, or as one of the few that a cold server bears.
  *
  * <p>What a cold server bears is a bound on the sum over all instances, which do not ask one another. Only two of them
  * send to it, with or without keys, because a share for each would let as many requests through at once as there are
@@ -23,8 +22,6 @@
  */
 public final class WarmupGate {
 
-    private static final double MILLIS_PER_SECOND = 1_000;
-
     private final InstanceId self;
     private final BooleanSupplier established;
     private final Map<BackendServerId, Boolean> chosen = new HashMap<>();
@@ -59,7 +56,7 @@
      */
     public SendStep beforeSend(BackendTracker server, double requestsPerSecond, long now) {
         if (!server.cold(now)) {
-            return server.relyOnWarmStatement(usesOfAStatement(requestsPerSecond), now) ? SendStep.SEND : SendStep.ASK;
+            return server.takeWarmStatement(now) ? SendStep.SEND : SendStep.ASK;
         }
         if (!admits(server, now)) {
             return SendStep.WITHDRAW;
@@ -68,11 +65,6 @@
         return SendStep.SEND;
     }
 
-    /** Returns how many requests may rely on one statement: as many as the server bears cold while it is relied on. */
-    private static int usesOfAStatement(double requestsPerSecond) {
-        return Math.max(1, (int) (requestsPerSecond * BackendTracker.STATEMENT_MILLIS / MILLIS_PER_SECOND));
-    }
-
     /** Returns whether this instance is one of those that send to the server while it is cold. */
     public boolean sendsTo(BackendTracker server) {
         return established.getAsBoolean()
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/BackendTrackerTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/BackendTrackerTest.java
@@ -110,20 +110,21 @@
     /** What an instance has known for longer says nothing about a server that may turn cold at any moment. */
     @Test
     void statementThatAServerIsWarmExpires() {
-        assertFalse(tracker.relyOnWarmStatement(2, 0));
         tracker.stated(0, 0, 20);
-        assertTrue(tracker.relyOnWarmStatement(2, BackendTracker.STATEMENT_MILLIS));
-        assertFalse(tracker.relyOnWarmStatement(2, BackendTracker.STATEMENT_MILLIS + 1));
+        tracker.stated(0, 1, 20);
+        assertTrue(tracker.takeWarmStatement(1 + BackendTracker.STATEMENT_MILLIS));
+        tracker.stated(0, 0, 20);
+        assertFalse(tracker.takeWarmStatement(1 + BackendTracker.STATEMENT_MILLIS));
     }
 
     /** Many requests at once relied on one statement, and a server that had just turned cold got all of them. */
     @Test
-    void statementThatAServerIsWarmAdmitsAFewRequests() {
+    void statementThatAServerIsWarmAdmitsOneRequest() {
         tracker.stated(0, 0, 1);
         tracker.stated(0, 0, 1);
-        assertTrue(tracker.relyOnWarmStatement(1, 1));
-        assertTrue(tracker.relyOnWarmStatement(1, 1));
-        assertFalse(tracker.relyOnWarmStatement(1, 1));
+        assertTrue(tracker.takeWarmStatement(1));
+        assertTrue(tracker.takeWarmStatement(1));
+        assertFalse(tracker.takeWarmStatement(1));
     }
 
     /** A listing that was written before the server turned cold let the full load through. */
@@ -141,7 +142,7 @@
         tracker.stated(1_000, 20, 30);
         tracker.stated(0, 10, 40);
         assertTrue(tracker.cold(41));
-        assertFalse(tracker.relyOnWarmStatement(1, 41));
+        assertFalse(tracker.takeWarmStatement(41));
     }
 
     @Test
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -476,17 +476,22 @@
         public boolean answered(FullHttpResponse answer) {
             HeaderNames names = services.adapter().headers();
             String echoed = answer.headers().get(names.requestId());
+            int status = answer.status().code();
             if (echoed != null && !echoed.equals(id)) {
                 records.otherAnswer(record(), echoed);
                 return false;
             }
+            if (echoed == null && answer.headers().contains(names.serverId()) && status != STATUS_MISDIRECTED) {
+                // Only answers to questions about the state name the server and no request.
+                records.otherAnswer(record(), "a second answer to a question");
+                return false;
+            }
             end();
             LoadReport load = services.adapter().load(answer.headers());
             if (load != null) {
                 target.tracker.report(load, now(), 0);
                 services.peers().loadReported(target, load);
             }
-            int status = answer.status().code();
             if (answer.headers().contains(names.notExecuted()) || status == STATUS_MISDIRECTED) {
                 if (!exchange.refused(echoed != null)) {
                     records.otherAnswer(record(), "a refusal without an id");
@@ -539,7 +544,7 @@
             switch (failure) {
                 case NOT_CONNECTED, NO_STATEMENT -> {
                     target.tracker.abandoned();
-                    target.tracker.unreachable(now);
+                    target.tracker.notReached(now);
                     noteAvoided(
                             before,
                             failure == ExchangeFailure.NOT_CONNECTED
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
@@ -110,7 +110,7 @@
             return owners.moving(keySlot, now);
         }
         BackendDirectory.Target target = services.directory().find(segment.owner());
-        return target != null && !denies(target.tracker, now) && mayBecomeFree(target.tracker, now);
+        return target != null && !avoided(target.tracker, now) && mayBecomeFree(target.tracker, now);
     }
 
     /** While an owner is cold, an instance that does not send to it has nothing to wait for. */
@@ -130,16 +130,19 @@
             return null;
         }
         BackendTracker tracker = target.tracker;
-        if (denies(tracker, now) || !services.routing().warmup().admits(tracker, now)) {
+        if (avoided(tracker, now) || !services.routing().warmup().admits(tracker, now)) {
             return null;
         }
         lastSegment = segment;
         return tracker;
     }
 
-    /** Each request to an address that belongs to another server counts against the retry budget of that server. */
-    private static boolean denies(BackendTracker tracker, long now) {
-        return tracker.denies() && tracker.paused(now);
+    /**
+     * Returns whether an owner is asked only after a pause. Each request to an address that belongs to another server
+     * counts against the retry budget of that server, and one to an owner that is out of reach is held in vain.
+     */
+    private static boolean avoided(BackendTracker tracker, long now) {
+        return tracker.denies() && tracker.paused(now) || tracker.outOfReach(now);
     }
 
     /** Chooses among the servers that were not tried; one that could not be reached is used only if no other is. */
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StateQuestion.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StateQuestion.java
@@ -35,7 +35,11 @@
 
     FullHttpRequest request() {
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, healthPath);
-        request.headers().set(HttpHeaderNames.HOST, target.backend().address());
+        request.headers()
+                .set(HttpHeaderNames.HOST, target.backend().address())
+                .set(
+                        services.adapter().headers().expectedServer(),
+                        target.backend().id().value());
         return request;
     }
 
@@ -63,9 +67,9 @@
                 || answering != null && !answering.equals(target.backend().id().value())) {
             return ExchangeFailure.OTHER_SERVER;
         }
-        // A server that says that it is ill tells its warm-up as well, and may serve.
+        // A server that says that it is ill tells its warm-up as well, and may serve. Others may answer in its place.
         long remainingMillis = remainingMillis(headers.get(names.warmupRemainingMillis()));
-        if (status != STATUS_WELL && status != STATUS_ILL || remainingMillis < 0) {
+        if (status != STATUS_WELL && status != STATUS_ILL || answering == null || remainingMillis < 0) {
             return ExchangeFailure.NO_STATEMENT;
         }
         long now = services.clock().millis();
@@ -81,7 +85,7 @@
     /** Returns the remaining time, 0 if there is none, or -1 if it cannot be read. */
     private static long remainingMillis(String text) {
         try {
-            return text == null ? 0 : Math.max(0, (long) Double.parseDouble(text.trim()));
+            return text == null ? 0 : (long) Math.max(0, Math.min(Integer.MAX_VALUE, Double.parseDouble(text.trim())));
         } catch (NumberFormatException e) {
             return -1;
         }
