Name what counts sends and connections by what they count

From the review: a server that was chosen counted as a send in the log, servers that told no state as failed connections, and "alive" read as a property of the server.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -117,11 +117,11 @@
         }
     }
 
-    private void proceed(HttpConnection connection, Exchange exchange, boolean alive) {
+    private void proceed(HttpConnection connection, Exchange exchange, boolean verified) {
         exchange.connection = connection;
-        switch (exchange.listener.beforeSend(alive)) {
-            case SEND -> connection.send(exchange.takeRequest(), exchange.listener, alive, this::free);
-            case ASK -> ask(connection, exchange, alive);
+        switch (exchange.listener.beforeSend(verified)) {
+            case SEND -> connection.send(exchange.takeRequest(), exchange.listener, verified, this::free);
+            case ASK -> ask(connection, exchange, verified);
             case WITHDRAW -> {
                 free(connection);
                 exchange.fail(ExchangeFailure.WITHDRAWN);
@@ -131,7 +131,7 @@
     }
 
     /** Asks the server for its state on the connection that will carry the request. */
-    private void ask(HttpConnection connection, Exchange exchange, boolean alive) {
+    private void ask(HttpConnection connection, Exchange exchange, boolean verified) {
         if (exchange.questions == MAX_QUESTIONS) {
             free(connection);
             exchange.fail(ExchangeFailure.LATE_STATEMENT);
@@ -139,7 +139,7 @@
         }
         exchange.questions++;
         Question question = new Question(connection, exchange);
-        connection.send(exchange.listener.question().request(), question, alive, question::answerTaken);
+        connection.send(exchange.listener.question().request(), question, verified, question::answerTaken);
     }
 
     private HttpConnection takeIdle() {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeListener.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeListener.java
@@ -10,10 +10,10 @@
      * Decides what happens to the request when a connection is free for it. A request that is withdrawn fails with
      * {@link ExchangeFailure#WITHDRAWN}.
      *
-     * @param alive whether the connection is new or the server has just answered on it; servers drop idle connections
-     *     without a word, and bytes that belong to no request may be on their way
+     * @param verified whether the connection is new or the server has just answered on it; servers drop idle
+     *     connections without a word, and bytes that belong to no request may be on their way
      */
-    default SendStep beforeSend(boolean alive) {
+    default SendStep beforeSend(boolean verified) {
         return SendStep.SEND;
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -20,7 +20,7 @@
  */
 final class HttpConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
-    private static final String KEEP_ALIVE = "keep-alive";
+    private static final String KEEP_ALIVE = "keep-verified";
     /** A server closes an idle connection after the announced time; this much earlier it is no longer used. */
     private static final long CLOSE_MARGIN_MILLIS = 700;
     /** Idle time after which a connection is no longer used if the server announced none. */
@@ -88,19 +88,19 @@
     /**
      * Sends a request. The connection takes over the reference to it.
      *
-     * @param alive whether the connection is new or the server has just answered on it
+     * @param verified whether the connection is new or the server has just answered on it
      * @param newWhenAnswered takes the connection after an answer, whether or not it may be used again
      */
     void send(
             FullHttpRequest request,
             ExchangeListener newListener,
-            boolean alive,
+            boolean verified,
             Consumer<HttpConnection> newWhenAnswered) {
         listener = newListener;
         whenAnswered = newWhenAnswered;
         headRequest = request.method().equals(HttpMethod.HEAD);
         sentAt = pool.now();
-        idleMillis = alive ? NEVER : sentAt - idleSince;
+        idleMillis = verified ? NEVER : sentAt - idleSince;
         channel.writeAndFlush(request, channel.voidPromise());
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRecords.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRecords.java
@@ -14,7 +14,7 @@
      *
      * @param backend the server, or null if there was no send
      * @param sentAfterMillis time from the arrival of the request to the send
-     * @param busyAtSend requests that the server seemed to have at the send
+     * @param busyAtSend requests that the server seemed to have when it was chosen
      */
     record Send(BackendServerId backend, Long sentAfterMillis, Double busyAtSend) {
         static final Send NONE = new Send(null, null, null);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestRun.java
@@ -36,8 +36,8 @@
 
     /** Sends that a server refused without running the request, beyond the attempts of the route. */
     private static final int EXTRA_SENDS = 2;
-    /** Connection failures after which no further server is tried. */
-    private static final int MAX_CONNECT_FAILURES = 4;
+    /** Servers that were not reached, or told no state, after which no further one is tried. */
+    private static final int MAX_SERVERS_NOT_REACHED = 4;
     /** Interval at which a request looks for an owner of its key, in milliseconds. */
     private static final long OWNER_POLL_MILLIS = 15;
     /** A second send starts after this multiple of the expected time. */
@@ -76,7 +76,7 @@
     private int mayHaveRun;
 
     private int refusals;
-    private int connectFailures;
+    private int serversNotReached;
     private boolean finished;
     private boolean offered;
     private ScheduledFuture<?> deadlineTimer;
@@ -158,7 +158,7 @@
             return;
         }
         double expected = server.expectedMillis(latency().millis(), now);
-        long latest = sends == 0 ? usefulUntil : deadlineAt;
+        long latest = lastAttempt == null ? usefulUntil : deadlineAt;
         if (now + expected > latest && server.busy(now) >= server.backend().slots()) {
             pauseMillis = now + expected - latest;
             refuse(ErrorCode.QUEUE_FULL, "expected time " + Math.round(expected) + " ms exceeds the useful time");
@@ -179,7 +179,6 @@
         forwarded.headers().set(names.expectedServer(), server.backend().id().value());
         Attempt attempt = new Attempt(services.directory().target(server), forwarded, now, expectedMillis);
         lastAttempt = attempt;
-        sends++;
         open.add(attempt);
         server.chosen();
         services.peers().inFlightChanged(attempt.target);
@@ -255,14 +254,14 @@
     private void lost(Attempt attempt, ExchangeFailure failure) {
         if (!failure.mayHaveRun()) {
             if (failure != ExchangeFailure.WITHDRAWN) {
-                connectFailures++;
+                serversNotReached++;
             }
             if (!open.isEmpty()) {
                 return;
             }
             // The keys of a server that leaves get another owner; those of one that cannot be reached may not.
             boolean anotherServer = keySlot < 0 || failure == ExchangeFailure.WITHDRAWN;
-            if (connectFailures < MAX_CONNECT_FAILURES && anotherServer) {
+            if (serversNotReached < MAX_SERVERS_NOT_REACHED && anotherServer) {
                 retry(failure.name().toLowerCase(Locale.ROOT), attempt);
             } else {
                 refuse(
@@ -443,15 +442,16 @@
         }
 
         @Override
-        public SendStep beforeSend(boolean alive) {
+        public SendStep beforeSend(boolean verified) {
             long now = now();
             if (finished || !services.directory().takesRequests(target) || now >= deadlineAt) {
                 return SendStep.WITHDRAW;
             }
             boolean cold = target.tracker.cold(now);
-            SendStep step = choice.beforeSend(target.tracker, alive, now);
+            SendStep step = choice.beforeSend(target.tracker, verified, now);
             if (step == SendStep.SEND) {
                 sent = true;
+                sends++;
                 sentAt = now;
                 mayHaveRun++;
                 target.tracker.sent(now);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerChoice.java
@@ -74,11 +74,11 @@
     /**
      * Decides on the request right before it is sent to the server.
      *
-     * @param alive whether the connection is known to work
+     * @param verified whether the connection is new or the server has just answered on it
      */
-    SendStep beforeSend(BackendTracker server, boolean alive, long now) {
+    SendStep beforeSend(BackendTracker server, boolean verified, long now) {
         WarmupGate warmup = services.routing().warmup();
-        if (!alive) {
+        if (!verified) {
             return warmup.admits(server, now) ? SendStep.ASK : SendStep.WITHDRAW;
         }
         return warmup.beforeSend(server, service.warmupRequestsPerSecond(), now);
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
@@ -41,7 +41,7 @@
                             new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x/1"),
                             new ExchangeListener() {
                                 @Override
-                                public SendStep beforeSend(boolean alive) {
+                                public SendStep beforeSend(boolean verified) {
                                     return SendStep.WITHDRAW;
                                 }
 
