Read the idle timeout that backend servers announce

Ruled out: the parser of the value, which the new test exercises. Change: the name is "keep-alive" again. Test: ConnectionPoolTest.connectionIsNotReusedAfterTheAnnouncedIdleTimeout.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -20,7 +20,7 @@
  */
 final class HttpConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
-    private static final String KEEP_ALIVE_HEADER = "keep-verified";
+    private static final String KEEP_ALIVE_HEADER = "keep-alive";
     /** Time before the announced idle timeout of the server at which the connection is no longer reused. */
     private static final long IDLE_TIMEOUT_MARGIN_MILLIS = 700;
     /** Idle time after which a connection is not reused if the server announces no idle timeout. */
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
@@ -1,11 +1,14 @@
 package org.jackdawslip.internal.gateway;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -18,6 +21,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -66,6 +71,61 @@
         }
     }
 
+    /**
+     * Guards against a request on a connection that its server closes. A server announces after how many
+     * seconds without a request it does so.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"timeout=1", "max=9, timeout=1"})
+    void connectionIsNotReusedAfterTheAnnouncedIdleTimeout(String keepAlive) throws Exception {
+        AtomicLong now = new AtomicLong();
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            ConnectionPool pool = new ConnectionPool(
+                    group, now::get, "127.0.0.1", server.getLocalPort(), new IdleLimit(), limit -> {}, () -> 1, 1);
+            CompletableFuture<Integer> first = get(pool);
+            try (Socket connection = server.accept()) {
+                respond(connection, keepAlive);
+                assertEquals(200, first.get());
+                now.addAndGet(900);
+                CompletableFuture<Integer> second = get(pool);
+                try (Socket replacement = server.accept()) {
+                    respond(replacement, keepAlive);
+                    assertEquals(200, second.get());
+                }
+            }
+        }
+    }
+
+    /** Sends a request; the result is the status of the response. */
+    private CompletableFuture<Integer> get(ConnectionPool pool) {
+        CompletableFuture<Integer> status = new CompletableFuture<>();
+        group.execute(() -> pool.send(
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x/1"), new ExchangeListener() {
+                    @Override
+                    public boolean onResponse(FullHttpResponse response) {
+                        status.complete(response.status().code());
+                        return true;
+                    }
+
+                    @Override
+                    public void onFailure(ExchangeFailure failure) {
+                        status.completeExceptionally(new AssertionError(failure));
+                    }
+                }));
+        return status;
+    }
+
+    private static void respond(Socket connection, String keepAlive) throws IOException {
+        BufferedReader reader = new BufferedReader(new InputStreamReader(connection.getInputStream()));
+        while (!reader.readLine().isEmpty()) {
+            // The content of the request does not matter.
+            continue;
+        }
+        connection
+                .getOutputStream()
+                .write(("HTTP/1.1 200 OK\r\nKeep-Alive: " + keepAlive + "\r\nContent-Length: 0\r\n\r\n").getBytes());
+    }
+
     /** Returns the first byte, or -1 if the connection was closed before any byte arrived. */
     private static int read(Socket connection) {
         try {
