--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/traffic/RoutingConfig.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/traffic/RoutingConfig.java
@@ -59,6 +59,11 @@
         return services.get(name);
     }
 
+    /** Returns all routes, in no particular order. */
+    public List<HostRoute> routes() {
+        return routesByHost.values().stream().flatMap(List::stream).toList();
+    }
+
     /**
      * Returns the route of the host with the longest prefix of the path, if there is one. The host is
      * compared without regard to case.
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestLog.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestLog.java
@@ -5,6 +5,7 @@
 import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.traffic.HostRoute;
+import org.jackdawslip.internal.traffic.RequestKind;
 
 /** Writes the log events of one request. Confined to the event loop. */
 final class RequestLog {
@@ -23,6 +24,7 @@
     private final EventLog log;
     private final String requestId;
     private String route;
+    private RequestKind kind;
     private ServiceName service;
     private Integer key;
 
@@ -31,9 +33,10 @@
         this.requestId = requestId;
     }
 
-    /** Sets the route, the service and the key slot that the following events contain. */
+    /** Sets the route with its kind, the service and the key slot that the following events contain. */
     void setContext(HostRoute hostRoute, ServiceName serviceName, int keySlot) {
         route = hostRoute.name();
+        kind = hostRoute.kind();
         service = serviceName;
         key = keySlot == ServerSelector.NO_KEY ? null : keySlot;
     }
@@ -52,6 +55,8 @@
                 requestId,
                 "route",
                 route,
+                "kind",
+                kind,
                 "service",
                 service,
                 "backend",
@@ -79,6 +84,8 @@
                 requestId,
                 "route",
                 route,
+                "kind",
+                kind,
                 "service",
                 service,
                 "status",
@@ -116,6 +123,8 @@
                 requestId,
                 "route",
                 route,
+                "kind",
+                kind,
                 "service",
                 service,
                 "key",
@@ -146,6 +155,8 @@
                 requestId,
                 "route",
                 route,
+                "kind",
+                kind,
                 "service",
                 service,
                 "key",
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
@@ -1,6 +1,7 @@
 package org.jackdawslip.internal.gateway;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -18,6 +19,7 @@
 import org.jackdawslip.internal.membership.MembershipStatus;
 import org.jackdawslip.internal.traffic.CallerLimits;
 import org.jackdawslip.internal.traffic.HostRoute;
+import org.jackdawslip.internal.traffic.RequestKind;
 import org.jackdawslip.internal.traffic.RoutingConfig;
 import org.jackdawslip.internal.traffic.TrafficSplitter;
 
@@ -43,6 +45,9 @@
     private final Map<String, LatencyEstimate> latencyEstimates = new HashMap<>();
     private final Map<ServiceName, OwnerView> ownerViews = new HashMap<>();
     private final Admission admission = new Admission();
+    /** Routes whose unknown kind has been logged. */
+    private final Set<String> routesOfUnknownKind = new HashSet<>();
+
     private final WarmupGate warmupGate;
     private final MembershipStatus membershipStatus;
     private Set<InstanceId> instances;
@@ -77,9 +82,18 @@
         }
         config = newer;
         log.info("config-in-force", "version", newer.version());
+        warnOfUnknownKinds(newer);
         return true;
     }
 
+    private void warnOfUnknownKinds(RoutingConfig newer) {
+        for (HostRoute route : newer.routes()) {
+            if (route.kind() == RequestKind.UNKNOWN && routesOfUnknownKind.add(route.name())) {
+                log.warn("route-kind-unknown", "route", route.name(), "handledAs", RequestKind.AT_MOST_ONCE);
+            }
+        }
+    }
+
     /** Selects the service for the next request of a route. */
     ServiceName selectService(HostRoute route) {
         return splitter.nextService(route);
