End the use of servers whose address belongs to another server

The key coordinator knew the end of an incarnation only from servers of its own service, so it sent 161 releases to the new servers within 8 s and let the keys wait for their term; requests asked there for their state until the listing expired. Change: of the servers listed at one address only the one that started last is used. Keys of the others are granted anew at once, because an address is reassigned only after its server ended. Releases without confirmation are repeated at growing intervals.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinator.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinator.java
@@ -58,6 +58,12 @@
     /** Added to the next token when a server has accepted a higher token than that of the table. */
     private static final long STALE_TOKEN_INCREMENT = 1_000;
 
+    /**
+     * How often the delay between releases doubles. An owner that is gone confirms none, and its address may
+     * belong to another server that has to answer each of them.
+     */
+    private static final int MAX_RELEASE_RETRY_DOUBLINGS = 3;
+
     private enum Phase {
         /** The durable table has the current owner. */
         OWNED,
@@ -93,6 +99,8 @@
         boolean ownerConfirmed;
 
         boolean releaseConfirmed;
+        /** Releases in a row that the owner did not confirm. */
+        int failedReleases;
         /** State that the previous owner returned with its release, or null. */
         String handover;
         /** Planned next owner, or null. */
@@ -149,38 +157,33 @@
     /**
      * Starts the actions that are due.
      *
-     * @param listed all backend servers of the service that discovery lists
-     * @param capacities the servers that may own keys, with their relative speed
+     * @param servers the backend servers of the service
      * @param loads the load of the key slots
      */
-    public void tick(
-            Map<BackendServerId, Backend> listed, Map<BackendServerId, Double> capacities, KeyLoads loads, long now) {
-        lastListed.putAll(listed);
-        if (capacities.size() > candidateCount) {
+    public void tick(KnownServers servers, KeyLoads loads, long now) {
+        lastListed.putAll(servers.listed());
+        int candidates = servers.capacities().size();
+        if (candidates > candidateCount) {
             lastJoinedAt = now;
         }
-        candidateCount = capacities.size();
+        candidateCount = candidates;
         for (SegmentState state : List.copyOf(states.values())) {
             if (state.phase == Phase.OWNED) {
-                renewOrRelease(state, listed, capacities, now);
+                renewOrRelease(state, servers, now);
             }
             if (state.phase == Phase.RELEASING) {
-                continueRelease(state, listed, now);
+                continueRelease(state, servers, now);
             }
         }
         if (!saving) {
-            assign(capacities, loads, now);
+            assign(servers.capacities(), loads, now);
         }
     }
 
-    private void renewOrRelease(
-            SegmentState state,
-            Map<BackendServerId, Backend> listed,
-            Map<BackendServerId, Double> capacities,
-            long now) {
-        Backend owner = listed.get(state.segment.owner());
-        boolean sameIncarnation = owner != null && owner.startedAtMillis() == state.segment.ownerStartedAtMillis();
-        if (sameIncarnation && capacities.containsKey(owner.id())) {
+    private void renewOrRelease(SegmentState state, KnownServers servers, long now) {
+        Map<BackendServerId, Double> capacities = servers.capacities();
+        Backend owner = servers.findIncarnation(state.segment.owner(), state.segment.ownerStartedAtMillis());
+        if (owner != null && capacities.containsKey(owner.id())) {
             if (!state.callPending && !state.needsHigherToken && now >= state.nextCallAt) {
                 state.callPending = true;
                 state.heldUntil = Math.max(state.heldUntil, now + timing.maxHoldMillis());
@@ -192,10 +195,10 @@
         }
     }
 
-    private void continueRelease(SegmentState state, Map<BackendServerId, Backend> listed, long now) {
+    private void continueRelease(SegmentState state, KnownServers servers, long now) {
         Backend owner = lastListed.get(state.segment.owner());
         boolean releaseEffective = state.releaseConfirmed && now >= state.lateGrantUntil;
-        if (releaseEffective || now >= state.heldUntil || incarnationEnded(state.segment, owner, listed)) {
+        if (releaseEffective || now >= state.heldUntil || incarnationEnded(state.segment, owner, servers)) {
             markFree(state, state.releaseConfirmed ? state.handover : null);
         } else if (state.releaseConfirmed) {
             return;
@@ -207,16 +210,15 @@
     }
 
     /**
-     * Returns whether the incarnation of the owner has ended: its id or its address is used by another one.
+     * Returns whether the incarnation of the owner has ended: its id or its address is used by another one. An
+     * address is given to another server, of this service or another, only after its server has ended.
      */
-    private static boolean incarnationEnded(
-            KeySegment segment, Backend lastListed, Map<BackendServerId, Backend> listed) {
-        Backend current = listed.get(segment.owner());
-        if (current != null) {
-            return current.startedAtMillis() != segment.ownerStartedAtMillis();
+    private static boolean incarnationEnded(KeySegment segment, Backend lastListed, KnownServers servers) {
+        Backend current = servers.listed().get(segment.owner());
+        if (current != null && current.startedAtMillis() != segment.ownerStartedAtMillis()) {
+            return true;
         }
-        return lastListed != null
-                && listed.values().stream().anyMatch(other -> other.address().equals(lastListed.address()));
+        return lastListed != null && servers.addressTaken().test(lastListed);
     }
 
     private void markFree(SegmentState state, String handover) {
@@ -224,6 +226,7 @@
         state.handover = handover;
         state.callPending = false;
         state.releaseConfirmed = false;
+        state.failedReleases = 0;
         state.needsHigherToken = false;
         state.fencesLateGrants = false;
         state.lateGrantUntil = 0;
@@ -421,7 +424,9 @@
             state.releaseConfirmed = true;
             state.handover = handover;
         } else {
-            state.nextCallAt = now + timing.releaseRetryDelayMillis();
+            int doublings = Math.min(MAX_RELEASE_RETRY_DOUBLINGS, state.failedReleases);
+            state.nextCallAt = now + (timing.releaseRetryDelayMillis() << doublings);
+            state.failedReleases++;
         }
     }
 
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
@@ -53,6 +53,8 @@
 
     private final Map<BackendServerId, Server> servers = new LinkedHashMap<>();
     private final Map<BackendServerId, Backend> listed = new HashMap<>();
+    /** Start of the server of another service that is listed at an address. */
+    private final Map<String, Long> otherServices = new HashMap<>();
     private final long[] highestToken = new long[KeySegment.SLOTS];
     private final BackendServerId[] highestTokenHolder = new BackendServerId[KeySegment.SLOTS];
     private final List<Runnable> pendingResults = new ArrayList<>();
@@ -61,6 +63,7 @@
     KeyCoordinator coordinator;
     long now = 1_000;
     int saveCount;
+    int releaseCount;
     int handoverCount;
     int announcedGrantCount;
     boolean storeLosesResponses;
@@ -92,6 +95,19 @@
         coordinator = new KeyCoordinator(TIMING, this, durable, now);
     }
 
+    /** Ends a server and lists one of another service at its address. */
+    void replaceByOtherService(String name, long startedAt) {
+        crash(name);
+        otherServices.put(servers.get(new BackendServerId(name)).backend.address(), startedAt);
+    }
+
+    private boolean isAddressTaken(Backend backend) {
+        return otherServices.getOrDefault(backend.address(), 0L) > backend.startedAtMillis()
+                || listed.values().stream()
+                        .anyMatch(other -> other.address().equals(backend.address())
+                                && other.startedAtMillis() > backend.startedAtMillis());
+    }
+
     void unlist(String name) {
         listed.remove(new BackendServerId(name));
     }
@@ -108,8 +124,10 @@
     void run(long millis) {
         for (long end = now + millis; now < end; now += 50) {
             Map<BackendServerId, Double> capacities = new TreeMap<>();
-            listed.keySet().forEach(id -> capacities.put(id, 1.0));
-            coordinator.tick(listed, capacities, loads, now);
+            listed.values().stream()
+                    .filter(backend -> !isAddressTaken(backend))
+                    .forEach(backend -> capacities.put(backend.id(), 1.0));
+            coordinator.tick(new KnownServers(listed, capacities, this::isAddressTaken), loads, now);
             List<Runnable> due = List.copyOf(pendingResults);
             pendingResults.clear();
             due.forEach(Runnable::run);
@@ -237,6 +255,7 @@
 
     @Override
     public void release(Backend backend, KeySegment segment) {
+        releaseCount++;
         Server server = servers.get(backend.id());
         boolean delivered = server.running && server.reachable;
         if (delivered) {
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyCoordinatorTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyCoordinatorTest.java
@@ -142,6 +142,36 @@
         assertEquals(KeySegment.SLOTS, owners.heldSlots());
     }
 
+    /**
+     * Guards against keys that wait for the end of the term although their owner has certainly ended, and against
+     * calls about these keys to the server that has the address now.
+     */
+    @Test
+    void addressOfAnotherServiceEndsTheOldIncarnationAtOnce() {
+        start("s1", "s2");
+        owners.run(8_000);
+        owners.replaceByOtherService("s1", 2);
+        owners.run(700);
+        assertEquals(KeySegment.SLOTS, owners.heldSlots("s2"));
+        assertEquals(0, owners.releaseCount);
+    }
+
+    /** Guards against a constant rate of calls to an address whose server is gone and that may be used again. */
+    @Test
+    void releasesWithoutConfirmationBecomeRarer() {
+        start("s1", "s2");
+        owners.run(8_000);
+        int segments = (int) ownersInOrder().stream()
+                .filter(segment -> segment.endsWith("s1"))
+                .count();
+        owners.crash("s1");
+        owners.unlist("s1");
+        owners.run(7_500);
+        assertTrue(owners.releaseCount <= 6 * segments, owners.releaseCount + " releases of " + segments);
+        owners.run(1_000);
+        assertEquals(KeySegment.SLOTS, owners.heldSlots("s2"));
+    }
+
     /** A server that restarts with the same id holds no keys and needs grants with higher tokens. */
     @Test
     void restartedServerGetsItsKeysWithHigherTokens() {
@@ -226,7 +256,8 @@
         randomOwners.takeOver();
         for (int step = 0; step < 25; step++) {
             String name = "s" + random.nextInt(4);
-            switch (random.nextInt(9)) {
+            switch (random.nextInt(10)) {
+                case 9 -> randomOwners.replaceByOtherService(name, 1_000 + step);
                 case 8 -> randomOwners.queueDelayMillis = random.nextBoolean() ? 0 : random.nextInt(3_000);
                 case 0 -> randomOwners.unlist(name);
                 case 1 -> randomOwners.setReachable(name, random.nextBoolean());
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -27,8 +27,8 @@
  * The backend servers that discovery lists, each with its tracker and the connections of this instance to the
  * server.
  *
- * <p>Invariant: a server that is draining, no longer listed or in a failure domain that is taken out receives
- * no new request. Confined to the event loop.
+ * <p>Invariant: a server that is draining, no longer listed or in a failure domain that is taken out, or whose
+ * address belongs to a later server by now, receives no new request. Confined to the event loop.
  */
 final class BackendDirectory {
 
@@ -69,6 +69,10 @@
     private final Map<String, Target> byEntry = new HashMap<>();
     private final Map<BackendServerId, Target> byId = new HashMap<>();
     private final Map<BackendTracker, Target> byTracker = new HashMap<>();
+    /** The server at each address that started last. Listings of ended servers expire seconds later. */
+    private final Map<String, Target> latestByAddress = new HashMap<>();
+    /** Listed servers whose address belongs to a server that started later. */
+    private final Set<BackendTracker> trackersWithTakenAddress = new HashSet<>();
     private final Map<ServiceName, Map<String, BackendTracker>> byService = new HashMap<>();
     private final Map<ServiceName, IdleLimit> idleLimits = new HashMap<>();
     private final Set<FailureDomainId> excludedDomains = new HashSet<>();
@@ -127,6 +131,7 @@
         byEntry.put(entry, target);
         byId.put(backend.id(), target);
         byTracker.put(tracker, target);
+        takeAddress(target);
         byService
                 .computeIfAbsent(backend.service(), service -> new LinkedHashMap<>())
                 .put(entry, tracker);
@@ -173,6 +178,7 @@
         if (target != null) {
             byId.remove(target.backend().id(), target);
             byTracker.remove(target.tracker);
+            giveUpAddress(target);
             byService.get(target.backend().service()).remove(entry);
             target.pool.shutDown();
             log.info(
@@ -217,14 +223,62 @@
         logIfColdChanged(target, wasCold, "server", now);
     }
 
+    private void takeAddress(Target target) {
+        Backend backend = target.backend();
+        Target previous = latestByAddress.get(backend.address());
+        if (previous == null || previous.backend().startedAtMillis() < backend.startedAtMillis()) {
+            latestByAddress.put(backend.address(), target);
+            if (previous != null) {
+                trackersWithTakenAddress.add(previous.tracker);
+                log.info(
+                        "backend-address-reused",
+                        "address",
+                        backend.address(),
+                        "backend",
+                        backend.id(),
+                        "service",
+                        backend.service(),
+                        "previousBackend",
+                        previous.backend().id(),
+                        "previousService",
+                        previous.backend().service());
+            }
+        } else if (previous.backend().startedAtMillis() > backend.startedAtMillis()) {
+            trackersWithTakenAddress.add(target.tracker);
+        }
+    }
+
+    private void giveUpAddress(Target target) {
+        String address = target.backend().address();
+        trackersWithTakenAddress.remove(target.tracker);
+        if (latestByAddress.remove(address, target)) {
+            List<Target> others = byEntry.values().stream()
+                    .filter(other -> other.backend().address().equals(address))
+                    .toList();
+            others.forEach(other -> trackersWithTakenAddress.remove(other.tracker));
+            others.forEach(this::takeAddress);
+        }
+    }
+
+    /** Returns whether another server that started later is listed at the address of the server. */
+    boolean isAddressTaken(Backend backend) {
+        Target latest = latestByAddress.get(backend.address());
+        return latest != null
+                && !latest.backend().sameIncarnation(backend)
+                && latest.backend().startedAtMillis() > backend.startedAtMillis();
+    }
+
     /** Returns whether new requests may be sent to the server. */
-    boolean acceptsRequests(Backend backend) {
-        return !backend.draining() && !excludedDomains.contains(backend.domain());
+    boolean acceptsRequests(BackendTracker tracker) {
+        Backend backend = tracker.backend();
+        return !backend.draining()
+                && !excludedDomains.contains(backend.domain())
+                && !trackersWithTakenAddress.contains(tracker);
     }
 
     /** Returns whether the server is still listed and new requests may be sent to it. */
     boolean isListedAndAcceptsRequests(Target target) {
-        return byEntry.get(target.entry) == target && acceptsRequests(target.backend());
+        return byEntry.get(target.entry) == target && acceptsRequests(target.tracker);
     }
 
     Collection<BackendTracker> trackers(ServiceName service) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -28,6 +28,7 @@
 import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.keyspace.KeyTable;
 import org.jackdawslip.internal.keyspace.KeyTiming;
+import org.jackdawslip.internal.keyspace.KnownServers;
 import org.jackdawslip.internal.keyspace.OwnerCandidates;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.time.LeaseGuard;
@@ -451,12 +452,13 @@
             }
             Map<BackendServerId, Backend> listed = new HashMap<>();
             directory.backends(service).forEach(backend -> listed.put(backend.id(), backend));
-            coordinator.tick(listed, capacities(now), serviceLoads(), now);
+            coordinator.tick(
+                    new KnownServers(listed, capacities(now), directory::isAddressTaken), serviceLoads(), now);
         }
 
         private Map<BackendServerId, Double> capacities(long now) {
             List<BackendTracker> acceptingServers = directory.trackers(service).stream()
-                    .filter(tracker -> directory.acceptsRequests(tracker.backend()))
+                    .filter(directory::acceptsRequests)
                     .toList();
             return OwnerCandidates.capacities(acceptingServers, now);
         }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerSelector.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerSelector.java
@@ -127,7 +127,7 @@
                 segment == null ? null : components.directory().find(segment.owner());
         if (target == null
                 || target.backend().startedAtMillis() != segment.ownerStartedAtMillis()
-                || !components.directory().acceptsRequests(target.backend())
+                || !components.directory().acceptsRequests(target.tracker)
                 || segment.equals(rejectedSegment) && now < rejectedAt + SAME_OWNER_RETRY_DELAY_MILLIS) {
             return null;
         }
@@ -167,7 +167,7 @@
     }
 
     private boolean isCandidate(BackendTracker server, long now) {
-        return components.directory().acceptsRequests(server.backend())
+        return components.directory().acceptsRequests(server)
                 && !excludedServers.contains(server.backend().id())
                 && components.routing().warmupGate().admits(server, now);
     }
