Pass large responses on as they arrive

Cause: every response was buffered whole, up to 8 MB for each connection against a heap of 64 MB. A few servers that send without end, or some slow callers of large downloads, could end the process and the requests of all other callers. Change: a response above 32 KB is passed on in parts, as fast as the caller reads; one that ends early closes the connection of the caller. What is buffered is limited for each response and in sum (ResponseMemory). Connection pools are built by a builder.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -43,6 +43,11 @@
     /** Fraction of a server's connection limit for callers; the rest is for grant calls and health checks. */
     private static final double CALLER_CONNECTION_SHARE = 0.8;
 
+    /** Limit of a response that is buffered whole, because it is not passed on as it arrives. */
+    private static final int MAX_RESPONSE_BYTES = 256 * 1024;
+    /** The responses that are buffered at a time may use this part of the heap. */
+    private static final long RESPONSE_MEMORY_DIVISOR = 4;
+
     /** One listed incarnation of a server with its connections. Confined to the event loop. */
     static final class Target {
         /** Key of the listing in the store. */
@@ -75,6 +80,8 @@
     private final Set<BackendTracker> trackersWithTakenAddress = new HashSet<>();
     private final Map<ServiceName, Map<String, BackendTracker>> byService = new HashMap<>();
     private final Map<ServiceName, IdleLimit> idleLimits = new HashMap<>();
+    private final ResponseMemory responseMemory =
+            new ResponseMemory(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR);
     private final Set<FailureDomainId> excludedDomains = new HashSet<>();
     private int liveInstanceCount = 1;
     private RoutingConfig routingConfig;
@@ -111,22 +118,12 @@
         remove(entry);
         BackendTracker tracker = new BackendTracker(backend, now);
         IdleLimit idleLimit = idleLimits.computeIfAbsent(backend.service(), service -> new IdleLimit());
-        ConnectionPool pool = new ConnectionPool(
-                loop,
-                clock,
-                backend.host(),
-                backend.port(),
-                idleLimit,
-                limitMillis -> log.warn(
-                        "idle-limit-shortened",
-                        "service",
-                        backend.service(),
-                        "backend",
-                        backend.id(),
-                        "limitMillis",
-                        limitMillis),
-                () -> maxIdleConnections(backend.service()),
-                maxConnections(backend.service()));
+        ConnectionPool pool = ConnectionPool.builder(loop, clock, backend.host(), backend.port())
+                .idleLimit(idleLimit, limitMillis -> logIdleLimit(backend, limitMillis))
+                .connections(
+                        () -> maxIdleConnections(backend.service()), maxConnections(backend.service()))
+                .responseMemory(MAX_RESPONSE_BYTES, responseMemory)
+                .build();
         Target target = new Target(entry, tracker, pool);
         byEntry.put(entry, target);
         byId.put(backend.id(), target);
@@ -153,6 +150,22 @@
                 sentToPreviousIncarnation);
     }
 
+    private void logIdleLimit(Backend backend, long limitMillis) {
+        log.warn(
+                "idle-limit-shortened",
+                "service",
+                backend.service(),
+                "backend",
+                backend.id(),
+                "limitMillis",
+                limitMillis);
+    }
+
+    /** Returns the number of bytes of responses that are buffered. */
+    long bufferedResponseBytes() {
+        return responseMemory.reservedBytes();
+    }
+
     /** Logs a change between cold and warm, and how many requests were sent in the second before the change. */
     private void logIfColdChanged(Target target, boolean wasCold, String source, long now) {
         boolean cold = target.tracker.cold(now);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -10,17 +12,25 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.ReferenceCountUtil;
 
 /**
  * The connection of one caller. Pipelined requests are processed concurrently, and their responses are
@@ -61,10 +71,10 @@
         }
         lastReadAt = components.clock().millis();
         if (message.decoderResult().isFailure()) {
-            PendingRequest rejected = new PendingRequest(false, message.method());
+            PendingRequest rejected = new PendingRequest(false, message);
             pendingRequests.addLast(rejected);
             int status = decodeErrorStatus(message.decoderResult().cause());
-            rejected.write(status, new io.netty.handler.codec.http.DefaultHttpHeaders(), new byte[0]);
+            rejected.write(status, new DefaultHttpHeaders(), new byte[0]);
             return;
         }
         CallerRequest request = new CallerRequest(
@@ -73,7 +83,7 @@
                 message.headers(),
                 ByteBufUtil.getBytes(message.content()),
                 lastReadAt);
-        PendingRequest pending = new PendingRequest(HttpUtil.isKeepAlive(message), message.method());
+        PendingRequest pending = new PendingRequest(HttpUtil.isKeepAlive(message), message);
         pendingRequests.addLast(pending);
         if (pendingRequests.size() >= MAX_PIPELINED) {
             context.channel().config().setAutoRead(false);
@@ -92,38 +102,58 @@
         return HttpResponseStatus.BAD_REQUEST.code();
     }
 
-    /** Writes the responses that are ready at the head of the queue. */
+    /** Writes what is ready of the responses, in the order of the requests. */
     private void writeReadyResponses() {
         boolean written = false;
-        while (!closing && !pendingRequests.isEmpty() && pendingRequests.peekFirst().response != null) {
-            PendingRequest completed = pendingRequests.pollFirst();
-            boolean last = !completed.keepAlive || server.keepAliveDisabled() && pendingRequests.isEmpty();
-            if (last) {
-                completed.response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                closing = true;
-                context.writeAndFlush(completed.response).addListener(ChannelFutureListener.CLOSE);
-                abandonPendingRequests();
-                return;
+        while (!pendingRequests.isEmpty() && pendingRequests.peekFirst().hasOutput()) {
+            PendingRequest first = pendingRequests.peekFirst();
+            if (!first.started) {
+                first.started = true;
+                if (!first.keepAlive || server.keepAliveDisabled() && pendingRequests.size() == 1) {
+                    announceClose(first);
+                }
             }
-            context.write(completed.response, context.voidPromise());
+            first.writeOutput();
             written = true;
+            if (!first.ended) {
+                break;
+            }
+            pendingRequests.pollFirst();
+            if (closing) {
+                context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                return;
+            }
         }
         if (written) {
             context.flush();
-            if (pendingRequests.size() < MAX_PIPELINED && !server.readingStopped()) {
+            if (!closing && pendingRequests.size() < MAX_PIPELINED && !server.readingStopped()) {
                 context.channel().config().setAutoRead(true);
             }
         }
     }
 
+    /** Makes this response the last one on the connection. */
+    private void announceClose(PendingRequest last) {
+        last.head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        closing = true;
+        pendingRequests.pollFirst();
+        abandonPendingRequests();
+        pendingRequests.addFirst(last);
+    }
+
     /** Ends the processing of requests whose responses cannot be written any more. */
     private void abandonPendingRequests() {
-        pendingRequests.forEach(pending -> {
-            if (pending.forwarder != null) {
-                pending.forwarder.onCallerDisconnect();
-            }
-        });
+        List<PendingRequest> abandoned = List.copyOf(pendingRequests);
         pendingRequests.clear();
+        abandoned.forEach(PendingRequest::handleDisconnect);
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ignored) {
+        PendingRequest first = pendingRequests.peekFirst();
+        if (first != null && first.started && context.channel().isWritable()) {
+            first.onWritable.run();
+        }
     }
 
     /** Stops reading and closes the connection after the response to the last request that was read. */
@@ -164,28 +194,115 @@
         context.close();
     }
 
-    /** One request and its position in the order of the responses. */
-    private final class PendingRequest implements ResponseWriter {
+    /** One request, its position in the order of the responses, and the output that waits for that position. */
+    private final class PendingRequest implements ResponseWriter, ResponseBodyWriter {
         private final boolean keepAlive;
         private final boolean headRequest;
+        private final boolean acceptsChunks;
+        private final Deque<HttpObject> output = new ArrayDeque<>();
+        private HttpResponse head;
         private RequestForwarder forwarder;
-        private FullHttpResponse response;
+        private Runnable onWritable = () -> {};
+        private boolean started;
+        private boolean ended;
+        private boolean disconnected;
 
-        PendingRequest(boolean keepAlive, HttpMethod method) {
+        PendingRequest(boolean keepAlive, HttpRequest request) {
             this.keepAlive = keepAlive;
-            this.headRequest = method.equals(HttpMethod.HEAD);
+            this.headRequest = request.method().equals(HttpMethod.HEAD);
+            this.acceptsChunks = request.protocolVersion().isKeepAliveDefault();
+        }
+
+        private boolean hasOutput() {
+            return !output.isEmpty();
+        }
+
+        private void writeOutput() {
+            while (!output.isEmpty()) {
+                context.write(output.pollFirst(), context.voidPromise());
+            }
+            if (!ended && isWritable()) {
+                onWritable.run();
+            }
+        }
+
+        private void handleDisconnect() {
+            disconnected = true;
+            output.forEach(ReferenceCountUtil::release);
+            output.clear();
+            if (forwarder != null) {
+                forwarder.onCallerDisconnect();
+            }
+        }
+
+        private void add(HttpObject part) {
+            if (disconnected) {
+                ReferenceCountUtil.release(part);
+            } else {
+                output.addLast(part);
+                writeReadyResponses();
+            }
         }
 
         @Override
         public void write(int status, HttpHeaders headers, byte[] body) {
-            FullHttpResponse newResponse = new DefaultFullHttpResponse(
+            FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
-            newResponse.headers().add(headers);
+            response.headers().add(headers);
             if (!headRequest) {
-                newResponse.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+                response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            }
+            head = response;
+            ended = true;
+            add(response);
+        }
+
+        @Override
+        public boolean canWriteParts(long contentLength) {
+            return contentLength != UNKNOWN_LENGTH || acceptsChunks;
+        }
+
+        @Override
+        public ResponseBodyWriter start(
+                int status, HttpHeaders headers, long contentLength, Runnable newOnWritable) {
+            head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+            head.headers().add(headers);
+            if (contentLength == UNKNOWN_LENGTH) {
+                HttpUtil.setTransferEncodingChunked(head, true);
+            } else {
+                HttpUtil.setContentLength(head, contentLength);
+            }
+            onWritable = newOnWritable;
+            add(head);
+            return this;
+        }
+
+        @Override
+        public boolean isWritable() {
+            return started && context.channel().isWritable();
+        }
+
+        @Override
+        public void write(ByteBuf part) {
+            add(new DefaultHttpContent(part));
+        }
+
+        @Override
+        public void end() {
+            ended = true;
+            add(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+
+        @Override
+        public boolean abandon() {
+            onWritable = () -> {};
+            if (started) {
+                context.close();
+                return false;
             }
-            response = newResponse;
-            writeReadyResponses();
+            output.forEach(ReferenceCountUtil::release);
+            output.clear();
+            return true;
         }
     }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerServer.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerServer.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -29,6 +30,9 @@
     /** Limit of connections that wait in the operating system to be accepted. */
     private static final int ACCEPT_BACKLOG = 1_024;
 
+    /** Unsent bytes of a connection above which a response is no longer read from its server, and below which it is. */
+    private static final WriteBufferWaterMark UNSENT_BYTES = new WriteBufferWaterMark(8 * 1024, 16 * 1024);
+
     private final EventLoopGroup loop;
     private final RequestComponents components;
     private final Set<CallerConnection> connections = new HashSet<>();
@@ -70,6 +74,7 @@
                     .option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true)
                     .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                    .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNSENT_BYTES)
                     .childHandler(initializer)
                     .bind(address)
                     .syncUninterruptibly()
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -10,6 +10,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -18,8 +19,8 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jackdawslip.internal.balance.IdleLimit;
 import org.jackdawslip.internal.time.MonotonicClock;
@@ -41,8 +42,11 @@
      * and another probe is sent.
      */
     private static final int MAX_STATE_PROBES = 3;
-    /** Maximum size of a response body; the response is buffered in memory until it is complete. */
-    private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+    /** Sizes of the buffer into which a connection reads; it grows with the amount that is read at a time. */
+    private static final int MIN_READ_BYTES = 64;
+
+    private static final int INITIAL_READ_BYTES = 2 * 1024;
+    static final int MAX_READ_BYTES = 32 * 1024;
 
     private final EventLoopGroup loop;
     private final MonotonicClock clock;
@@ -52,33 +56,93 @@
     private final IdleLimit idleLimit;
     private final LongConsumer onIdleLimitShortened;
     private final IntSupplier maxIdleConnections;
+    private final int maxBufferedBytes;
+    private final ResponseMemory memory;
     private int connectionLimit;
 
-    /**
-     * Creates a pool without connections.
-     *
-     * @param idleLimit how long a connection may be idle before reuse; shared with other pools of the service
-     * @param onIdleLimitShortened receives the new limit in milliseconds when a connection was lost because
-     *     it had been idle
-     * @param maxIdleConnections returns how many idle connections may be kept open
-     * @param maxConnections maximum number of connections that are open or being opened
-     */
-    ConnectionPool(
-            EventLoopGroup loop,
-            MonotonicClock clock,
-            String host,
-            int port,
-            IdleLimit idleLimit,
-            LongConsumer onIdleLimitShortened,
-            IntSupplier maxIdleConnections,
-            int maxConnections) {
-        this.idleLimit = idleLimit;
-        this.onIdleLimitShortened = onIdleLimitShortened;
-        this.maxIdleConnections = maxIdleConnections;
-        this.loop = loop;
-        this.clock = clock;
-        this.address = new InetSocketAddress(host, port);
-        this.connectionLimit = maxConnections;
+    private ConnectionPool(Builder builder) {
+        this.loop = builder.loop;
+        this.clock = builder.clock;
+        this.address = builder.address;
+        this.idleLimit = builder.idleLimit;
+        this.onIdleLimitShortened = builder.onIdleLimitShortened;
+        this.maxIdleConnections = builder.maxIdleConnections;
+        this.connectionLimit = builder.maxConnections;
+        this.maxBufferedBytes = builder.maxBufferedBytes;
+        this.memory = builder.memory;
+    }
+
+    /** Returns a builder of a pool of connections to one address. */
+    static Builder builder(EventLoopGroup loop, MonotonicClock clock, String host, int port) {
+        return new Builder(loop, clock, new InetSocketAddress(host, port));
+    }
+
+    /** Builds a pool without connections. Not thread-safe. */
+    static final class Builder {
+        private final EventLoopGroup loop;
+        private final MonotonicClock clock;
+        private final InetSocketAddress address;
+        private IdleLimit idleLimit = new IdleLimit();
+        private LongConsumer onIdleLimitShortened = limitMillis -> {};
+        private IntSupplier maxIdleConnections = () -> 1;
+        private int maxConnections = 1;
+        private int maxBufferedBytes = HttpConnection.MAX_WHOLE_BODY_BYTES;
+        private ResponseMemory memory = new ResponseMemory(Long.MAX_VALUE);
+
+        private Builder(EventLoopGroup loop, MonotonicClock clock, InetSocketAddress address) {
+            this.loop = loop;
+            this.clock = clock;
+            this.address = address;
+        }
+
+        /**
+         * Sets how long a connection may be idle before reuse.
+         *
+         * @param limit the limit, which may be shared with other pools
+         * @param onShortened receives the new limit in milliseconds when a connection was lost because it had been
+         *     idle
+         */
+        Builder idleLimit(IdleLimit limit, LongConsumer onShortened) {
+            idleLimit = limit;
+            onIdleLimitShortened = onShortened;
+            return this;
+        }
+
+        /**
+         * Sets the numbers of connections; the default is one.
+         *
+         * @param idle returns how many idle connections may be kept open
+         * @param total maximum number of connections that are open or being opened
+         */
+        Builder connections(IntSupplier idle, int total) {
+            maxIdleConnections = idle;
+            maxConnections = total;
+            return this;
+        }
+
+        /**
+         * Sets the limits of buffered response bodies. A response that exceeds one is not valid.
+         *
+         * @param responseBytes limit for one response, in bytes
+         * @param sharedMemory limit for all responses of the pools that share it
+         */
+        Builder responseMemory(int responseBytes, ResponseMemory sharedMemory) {
+            maxBufferedBytes = responseBytes;
+            memory = sharedMemory;
+            return this;
+        }
+
+        ConnectionPool build() {
+            return new ConnectionPool(this);
+        }
+    }
+
+    int maxBufferedBytes() {
+        return maxBufferedBytes;
+    }
+
+    ResponseMemory memory() {
+        return memory;
     }
 
     /** Sets the maximum number of connections. Connections that are open stay open. */
@@ -190,15 +254,14 @@
                 .option(ChannelOption.SO_LINGER, 0)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
-                                .addLast(
-                                        new HttpRequestEncoder(),
-                                        connection.decoder(),
-                                        new HttpObjectAggregator(MAX_RESPONSE_BYTES),
-                                        connection);
+                                .addLast(new HttpRequestEncoder(), connection.decoder(), connection);
                     }
                 });
     }
@@ -285,6 +348,13 @@
             return connection.recordRefusal(hasRequestId);
         }
 
+        /** Stops or resumes reading the response. */
+        void setReading(boolean reading) {
+            if (connection != null) {
+                connection.setReading(reading);
+            }
+        }
+
         /** Aborts the exchange: closes its connection and does not call its listener any more. */
         void abort() {
             aborted = true;
@@ -311,6 +381,11 @@
             this.timeout = loop.next().schedule(this::onTimeout, STATE_PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
 
+        @Override
+        public void onResponseHead(HttpResponse head) {
+            exchange.listener.onResponseHead(head);
+        }
+
         @Override
         public boolean onResponse(FullHttpResponse response) {
             StateProbe probe = exchange.listener.stateProbe();
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeListener.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ExchangeListener.java
@@ -1,6 +1,7 @@
 package org.jackdawslip.internal.gateway;
 
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
 import org.jackdawslip.internal.balance.SendDecision;
 
 /**
@@ -27,7 +28,23 @@
     }
 
     /**
-     * Handles a response. The listener does not retain the buffers of the response.
+     * Handles the head of a response as soon as it is read. The response may not belong to the request, but it was
+     * sent by the server of the connection.
+     */
+    default void onResponseHead(HttpResponse head) {}
+
+    /**
+     * Decides how a response is received whose body is larger than {@link HttpConnection#MAX_WHOLE_BODY_BYTES}.
+     *
+     * @return the receiver of the body; {@link BodyReceiver#DISCARD} if the response does not belong to the request;
+     *     null if the body is to be buffered for {@link #onResponse}
+     */
+    default BodyReceiver onLargeResponse(HttpResponse head) {
+        return null;
+    }
+
+    /**
+     * Handles a whole response. The listener does not retain the buffers of the response.
      *
      * @return whether the response belongs to the request; if not, the connection waits for another response
      */
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -48,6 +48,10 @@
     private static final long LOOP_CHECK_INTERVAL_MILLIS = 250;
     /** Connections per address for calls to the store and ownership calls. */
     private static final int CONNECTIONS_PER_ADDRESS = 8;
+    /** Limit of one response of the store, directly or through a peer; it holds values of up to a megabyte. */
+    private static final int MAX_STORE_RESPONSE_BYTES = 8 * 1024 * 1024;
+    /** Limit of one response to an ownership call; it has hardly any content. */
+    private static final int MAX_OWNERSHIP_RESPONSE_BYTES = 32 * 1024;
 
     private final GatewaySettings settings;
     private final GatewayContext context;
@@ -94,18 +98,19 @@
         membershipStatus = new MembershipStatus(clock, Clocks.wall());
         routing = new RoutingState(settings, log, random, membershipStatus);
         directory = new BackendDirectory(group, clock, log, membershipStatus);
-        InternalHttpClient httpClient = new InternalHttpClient(group, clock, CONNECTIONS_PER_ADDRESS);
-        DurableStore store = storeFactory.apply(httpClient, settings.storeAddress());
+        InternalHttpClient storeClient = storeClient(CONNECTIONS_PER_ADDRESS);
+        DurableStore store = storeFactory.apply(storeClient, settings.storeAddress());
         context = new GatewayContext(settings, loop, clock, log, adapter, store);
-        InternalHttpClient peerClient = new InternalHttpClient(group, clock, CONNECTIONS_PER_ADDRESS);
+        InternalHttpClient peerClient = storeClient(CONNECTIONS_PER_ADDRESS);
         reader = new FailoverReader(context, peer -> storeFactory.apply(peerClient, peer), peerClient::removeAddress);
-        relay = new StoreRelay(
-                context, new InternalHttpClient(group, clock, StoreRelay.MAX_CALLS_IN_FLIGHT), reader::direct);
+        relay = new StoreRelay(context, storeClient(StoreRelay.MAX_CALLS_IN_FLIGHT), reader::direct);
         view = new PlatformView(context, reader, membershipStatus, this::apply);
         memberListings = new MemberListings(context, view, membershipStatus, this::membersChanged);
         LeaseGuard guard = new LeaseGuard(clock, Clocks.wall());
-        keyCoordinatorRole =
-                new KeyCoordinatorRole(context, routing, directory, view, guard, httpClient, random, this::announce);
+        InternalHttpClient ownershipClient =
+                new InternalHttpClient(group, clock, CONNECTIONS_PER_ADDRESS, MAX_OWNERSHIP_RESPONSE_BYTES);
+        keyCoordinatorRole = new KeyCoordinatorRole(
+                context, routing, directory, view, guard, ownershipClient, random, this::announce);
         peers = new PeerExchange(context, directory, new PeerListener() {
             @Override
             public void keyUsed(ServiceName service, int slot) {
@@ -123,6 +128,10 @@
         callerServer = new CallerServer(group, components);
     }
 
+    private InternalHttpClient storeClient(int connections) {
+        return new InternalHttpClient(group, clock, connections, MAX_STORE_RESPONSE_BYTES);
+    }
+
     /**
      * Starts the listeners and the view of the platform.
      *
@@ -186,6 +195,7 @@
                 "config.version",
                 () -> routing.config() == null ? 0 : routing.config().version());
         metrics.registerGauge("member.established", () -> established ? 1 : 0);
+        metrics.registerGauge("responses.buffered.bytes", directory::bufferedResponseBytes);
         metrics.registerGauge("store.lost", () -> view.storeLost() ? 1 : 0);
         metrics.registerGauge("store.direct", () -> reader.direct() ? 1 : 0);
         metrics.registerGauge("store.answers.through.peers", reader::relayedResponses);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -2,23 +2,38 @@
 
 import java.util.function.Consumer;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * One HTTP connection to a server, with one exchange at a time.
  *
- * <p>Invariant: bytes that arrive while no exchange is open belong to no request and close the connection.
+ * <p>Invariants: bytes that arrive while no exchange is open belong to no request and close the connection; the
+ * buffered bytes of a response stay within the limits of the pool.
  * Confined to the event loop.
  */
-final class HttpConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+final class HttpConnection extends SimpleChannelInboundHandler<HttpObject> {
+
+    /**
+     * Largest body that is buffered until it is complete. A larger one is passed on in parts if the listener
+     * accepts that.
+     */
+    static final int MAX_WHOLE_BODY_BYTES = 32 * 1024;
 
     private static final String KEEP_ALIVE_HEADER = "keep-alive";
     /** Time before the announced idle timeout of the server at which the connection is no longer reused. */
@@ -35,7 +50,14 @@
     private Consumer<HttpConnection> onResponseHandled;
     private boolean headRequest;
     private boolean reusable = true;
-    private boolean broken;
+    /** Head of the response that is being received, or null. */
+    private HttpResponse head;
+    /** Buffered part of the body of that response. */
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    /** Whether that response is buffered although it is large. */
+    private boolean bufferWhole;
+    /** Receives the body of that response in parts, or null. */
+    private BodyReceiver bodyReceiver;
     /** Whether the server refused a request on this connection; a copy of the refusal may arrive later. */
     private boolean refusalReceived;
 
@@ -107,9 +129,17 @@
     /** Aborts the open exchange, if any, and closes the connection. The listener is not called. */
     void abort() {
         listener = null;
+        discardResponse();
         close();
     }
 
+    private void discardResponse() {
+        head = null;
+        bodyReceiver = null;
+        bufferWhole = false;
+        detachBody().release();
+    }
+
     /** Returns whether the connection may carry another request. */
     boolean isUsable(long now) {
         return reusable
@@ -126,29 +156,101 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+    protected void channelRead0(ChannelHandlerContext context, HttpObject object) {
         if (listener == null) {
             close();
             return;
         }
-        // Bytes left over from an earlier response become part of the protocol name of this response.
-        if (response.decoderResult().isFailure()
-                || !HttpVersion.HTTP_1_1
-                        .protocolName()
-                        .equals(response.protocolVersion().protocolName())) {
+        if (object.decoderResult().isFailure()) {
             fail(ExchangeFailure.MALFORMED_ANSWER);
             return;
         }
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            return;
+        if (object instanceof HttpResponse response) {
+            receiveHead(response);
+        }
+        if (object instanceof HttpContent content && head != null) {
+            receiveBody(content);
+        }
+    }
+
+    private void receiveHead(HttpResponse response) {
+        // Bytes left over from an earlier response become part of the protocol name of this response.
+        if (!HttpVersion.HTTP_1_1
+                .protocolName()
+                .equals(response.protocolVersion().protocolName())) {
+            fail(ExchangeFailure.MALFORMED_ANSWER);
+        } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+            head = response;
+            applyKeepAlive(response);
+            listener.onResponseHead(response);
+        }
+    }
+
+    private void receiveBody(HttpContent content) {
+        if (bodyReceiver != null) {
+            if (content.content().isReadable()) {
+                bodyReceiver.onPart(content.content().retain());
+            }
+        } else if (!buffer(content.content())) {
+            fail(ExchangeFailure.MALFORMED_ANSWER);
+        } else if (body.readableBytes() > MAX_WHOLE_BODY_BYTES
+                && !bufferWhole
+                && !(content instanceof LastHttpContent)) {
+            chooseBodyReceiver();
+        }
+        if (content instanceof LastHttpContent && head != null) {
+            completeResponse();
+        }
+    }
+
+    /** Adds bytes to the buffered body; returns false if the body exceeds a limit. */
+    private boolean buffer(ByteBuf bytes) {
+        int length = bytes.readableBytes();
+        if (body.readableBytes() + length > pool.maxBufferedBytes() || !pool.memory().tryReserve(length)) {
+            return false;
+        }
+        if (length > 0) {
+            body = body == Unpooled.EMPTY_BUFFER ? Unpooled.buffer(length) : body;
+            body.writeBytes(bytes);
         }
-        if (broken) {
+        return true;
+    }
+
+    private ByteBuf detachBody() {
+        ByteBuf detached = body;
+        pool.memory().release(detached.readableBytes());
+        body = Unpooled.EMPTY_BUFFER;
+        return detached;
+    }
+
+    private void chooseBodyReceiver() {
+        BodyReceiver receiver = listener.onLargeResponse(head);
+        if (listener == null) {
+            // The listener aborted the exchange.
             return;
         }
-        applyKeepAlive(response);
+        bufferWhole = receiver == null;
+        bodyReceiver = receiver;
+        if (receiver != null) {
+            receiver.onPart(detachBody());
+        }
+    }
+
+    private void completeResponse() {
+        HttpResponse completed = head;
+        BodyReceiver receiver = bodyReceiver;
+        head = null;
+        bodyReceiver = null;
+        bufferWhole = false;
         reusable &= !decoder.hasSurplusBytes();
-        ExchangeListener current = listener;
-        if (!current.onResponse(response)) {
+        if (receiver == BodyReceiver.DISCARD) {
+            reusable = false;
+            return;
+        }
+        if (receiver != null) {
+            setReading(true);
+            receiver.onEnd();
+        } else if (!deliver(completed, detachBody())) {
             reusable = false;
             return;
         }
@@ -157,7 +259,26 @@
         onResponseHandled.accept(this);
     }
 
-    private void applyKeepAlive(FullHttpResponse response) {
+    private boolean deliver(HttpResponse completed, ByteBuf content) {
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                completed.protocolVersion(),
+                completed.status(),
+                content,
+                completed.headers(),
+                EmptyHttpHeaders.INSTANCE);
+        try {
+            return listener.onResponse(response);
+        } finally {
+            response.release();
+        }
+    }
+
+    /** Stops or resumes reading, so that a response is received only as fast as it is passed on. */
+    void setReading(boolean reading) {
+        channel.config().setAutoRead(reading);
+    }
+
+    private void applyKeepAlive(HttpResponse response) {
         if (!HttpUtil.isKeepAlive(response)) {
             reusable = false;
         }
@@ -177,8 +298,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        // A reset also closes the channel, and the decoder would then complete a response without a length.
-        broken = true;
+        // A reset also closes the channel, and the decoder would then complete a response without a length. No
+        // exchange is open any more by then.
         fail(ExchangeFailure.CONNECTION_LOST);
     }
 
@@ -191,9 +312,13 @@
 
     private void fail(ExchangeFailure failure) {
         ExchangeListener current = listener;
+        BodyReceiver receiver = bodyReceiver;
         listener = null;
+        discardResponse();
         close();
-        if (current != null) {
+        if (current != null && receiver != null && receiver != BodyReceiver.DISCARD) {
+            receiver.onFailure(failure);
+        } else if (current != null) {
             if (idleBeforeSendMillis != UNSET && failure == ExchangeFailure.CONNECTION_LOST) {
                 pool.handleLossAfterIdle(idleBeforeSendMillis, pool.now() - sentAt);
             }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/InternalHttpClient.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/InternalHttpClient.java
@@ -18,7 +18,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import org.jackdawslip.internal.balance.IdleLimit;
 import org.jackdawslip.internal.time.MonotonicClock;
 
 /**
@@ -28,16 +27,30 @@
  */
 public final class InternalHttpClient {
 
+    /** The responses that are received at a time may use this part of the heap. */
+    private static final long RESPONSE_MEMORY_DIVISOR = 8;
+
     private final EventLoopGroup loop;
     private final MonotonicClock clock;
     private final int connectionsPerAddress;
+    private final int maxResponseBytes;
+    private final ResponseMemory responseMemory;
     private final Map<String, ConnectionPool> pools = new HashMap<>();
 
-    /** Creates a client that opens at most the given number of connections to each address. */
-    public InternalHttpClient(EventLoopGroup loop, MonotonicClock clock, int connectionsPerAddress) {
+    /**
+     * Creates a client.
+     *
+     * @param connectionsPerAddress maximum number of connections to each address
+     * @param maxResponseBytes limit for the body of one response, in bytes; a larger response is not valid
+     */
+    public InternalHttpClient(
+            EventLoopGroup loop, MonotonicClock clock, int connectionsPerAddress, int maxResponseBytes) {
         this.loop = loop;
         this.clock = clock;
         this.connectionsPerAddress = connectionsPerAddress;
+        this.maxResponseBytes = maxResponseBytes;
+        this.responseMemory = new ResponseMemory(
+                Math.max(maxResponseBytes, Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR));
     }
 
     /**
@@ -105,16 +118,12 @@
     private ConnectionPool pool(String address) {
         return pools.computeIfAbsent(address, hostAndPort -> {
             int colon = hostAndPort.lastIndexOf(':');
-            return new ConnectionPool(
-                    loop,
-                    clock,
-                    hostAndPort.substring(0, colon),
-                    Integer.parseInt(hostAndPort.substring(colon + 1)),
-                    new IdleLimit(),
-                    // Users of this class repeat lost calls or log the loss, so the new limit is not logged.
-                    idleLimitMillis -> {},
-                    () -> connectionsPerAddress,
-                    connectionsPerAddress);
+            String host = hostAndPort.substring(0, colon);
+            int port = Integer.parseInt(hostAndPort.substring(colon + 1));
+            return ConnectionPool.builder(loop, clock, host, port)
+                    .connections(() -> connectionsPerAddress, connectionsPerAddress)
+                    .responseMemory(maxResponseBytes, responseMemory)
+                    .build();
         });
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -6,11 +6,14 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jackdawslip.ErrorCode;
 import org.jackdawslip.ServiceName;
@@ -61,6 +64,9 @@
     /** Refused attempts after which a request for a key fails. */
     private static final int MAX_REFUSED_OWNER_ATTEMPTS = 4;
 
+    /** Time after the deadline of the caller at which a response that is being passed on is cut. */
+    private static final long STREAM_GRACE_MILLIS = 200;
+
     private static final int STATUS_MISDIRECTED = 421;
     /** Statuses of declined requests; only a header confirms that the server did not execute the request. */
     private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, STATUS_MISDIRECTED, 429, 503);
@@ -95,6 +101,8 @@
     private ScheduledFuture<?> deadlineTimer;
     private ScheduledFuture<?> ownerPollTimer;
     private ScheduledFuture<?> hedgeTimer;
+    /** The response that is being passed on in parts, or null. */
+    private StreamedResponse streamedResponse;
 
     RequestForwarder(RequestComponents components, CallerRequest request, ResponseWriter responseWriter) {
         this.components = components;
@@ -328,15 +336,17 @@
         CallerRequest.copyEndToEndHeaders(response.headers(), headers);
         byte[] body = ByteBufUtil.getBytes(response.content());
         finish();
-        long lateMillis = now() - request.receivedAt() - route.targetLatencyMillis();
+        recordReturned(attempt, response.status().code());
+        responseWriter.write(response.status().code(), headers, body);
+    }
+
+    private void recordReturned(Attempt attempt, int status) {
+        long millis = now() - request.receivedAt();
+        long lateMillis = millis - route.targetLatencyMillis();
         if (lateMillis > 0) {
             requestLog.logLateResponse(attempt.summary(), lateMillis, attempt.target.tracker.slowdownFactor(now()));
         }
-        components
-                .metrics()
-                .recordResponse(
-                        route, now() - request.receivedAt(), response.status().code());
-        responseWriter.write(response.status().code(), headers, body);
+        components.metrics().recordResponse(route, millis, status);
     }
 
     private void handleDeadline() {
@@ -387,7 +397,10 @@
      * Handles a disconnect of the caller. Open attempts are aborted only if the request may run more than once.
      */
     void onCallerDisconnect() {
-        if (!finished) {
+        if (streamedResponse != null) {
+            requestLog.logCallerDisconnect(now() - request.receivedAt());
+            streamedResponse.abort();
+        } else if (!finished) {
             requestLog.logCallerDisconnect(now() - request.receivedAt());
             if (route == null || route.kind().repeatable()) {
                 finish();
@@ -518,27 +531,85 @@
             return new StateProbe(components, target, serverSelector.healthCheckPath());
         }
 
-        @Override
-        public boolean onResponse(FullHttpResponse response) {
+        /** Returns whether the response is one to another request or to a state probe. */
+        private boolean isUnrelated(HttpResponse response) {
             HeaderNames names = components.adapter().headers();
             String responseId = response.headers().get(names.requestId());
-            int status = response.status().code();
             if (responseId != null && !responseId.equals(requestId)) {
                 requestLog.logUnrelatedResponse(summary(), responseId);
-                return false;
+                return true;
             }
-            if (responseId == null && response.headers().contains(names.serverId()) && status != STATUS_MISDIRECTED) {
+            if (responseId == null
+                    && response.headers().contains(names.serverId())
+                    && response.status().code() != STATUS_MISDIRECTED) {
                 // Only responses to state probes contain a server id and no request id.
                 requestLog.logUnrelatedResponse(summary(), "repeated response to a state probe");
-                return false;
+                return true;
             }
-            close();
+            return false;
+        }
+
+        private boolean reportsNotRun(HttpResponse response) {
+            return response.headers().contains(components.adapter().headers().notExecuted())
+                    || response.status().code() == STATUS_MISDIRECTED;
+        }
+
+        private boolean lacksSignature(HttpResponse response) {
+            return response.status().code() < 300
+                    && !response.headers().contains(components.adapter().headers().signature());
+        }
+
+        private LoadReport recordLoadReport(HttpResponse response) {
             LoadReport load = components.adapter().decodeLoadReport(response.headers());
             if (load != null) {
                 target.tracker.recordLoadReport(load, now(), 0);
                 components.peers().recordLoadReport(target, load);
             }
-            if (response.headers().contains(names.notExecuted()) || status == STATUS_MISDIRECTED) {
+            return load;
+        }
+
+        private void recordServiceTime(LoadReport load) {
+            if (!queued) {
+                double slowdown = load == null ? 1 : Math.max(1, load.slowdownPercent()) / USUAL_SLOWDOWN_PERCENT;
+                double millis = (now() - sentAt) / slowdown;
+                components
+                        .peers()
+                        .addServiceTimeSample(target, millis / latency().meanMillis());
+                latency().addSample(millis);
+            }
+        }
+
+        @Override
+        public BodyReceiver onLargeResponse(HttpResponse head) {
+            if (isUnrelated(head)) {
+                return BodyReceiver.DISCARD;
+            }
+            long contentLength = HttpUtil.getContentLength(head, ResponseWriter.UNKNOWN_LENGTH);
+            if (finished
+                    || reportsNotRun(head)
+                    || head.status().code() >= 500
+                    || lacksSignature(head)
+                    || !responseWriter.canWriteParts(contentLength)) {
+                return null;
+            }
+            recordServiceTime(recordLoadReport(head));
+            openAttempts.remove(this);
+            finish();
+            streamedResponse = new StreamedResponse(this, head, contentLength);
+            return streamedResponse;
+        }
+
+        @Override
+        public boolean onResponse(FullHttpResponse response) {
+            String responseId =
+                    response.headers().get(components.adapter().headers().requestId());
+            int status = response.status().code();
+            if (isUnrelated(response)) {
+                return false;
+            }
+            close();
+            LoadReport load = recordLoadReport(response);
+            if (reportsNotRun(response)) {
                 if (!exchange.recordRefusal(responseId != null)) {
                     requestLog.logUnrelatedResponse(
                             summary(), "refusal without a request id, possibly a copy of an earlier one");
@@ -562,19 +633,14 @@
             }
             boolean success = status < 500;
             target.tracker.recordResponse(success);
-            if (status < 300 && !response.headers().contains(names.signature())) {
+            if (lacksSignature(response)) {
                 if (!finished) {
                     handleFailure(this, ExchangeFailure.MALFORMED_ANSWER);
                 }
                 return true;
             }
-            if (success && !queued) {
-                double slowdown = load == null ? 1 : Math.max(1, load.slowdownPercent()) / USUAL_SLOWDOWN_PERCENT;
-                double millis = (now() - sentAt) / slowdown;
-                components
-                        .peers()
-                        .addServiceTimeSample(target, millis / latency().meanMillis());
-                latency().addSample(millis);
+            if (success) {
+                recordServiceTime(load);
             }
             if (finished) {
                 return true;
@@ -628,4 +694,75 @@
             }
         }
     }
+
+    /**
+     * A large response that is passed on to the caller as it arrives, as fast as the caller reads. It cannot be
+     * replaced by another one once a part of it was sent to the caller.
+     */
+    private final class StreamedResponse implements BodyReceiver {
+        private final Attempt attempt;
+        private final int status;
+        private final ResponseBodyWriter writer;
+        private final ScheduledFuture<?> endTimer;
+
+        StreamedResponse(Attempt attempt, HttpResponse head, long contentLength) {
+            this.attempt = attempt;
+            this.status = head.status().code();
+            HttpHeaders headers = new DefaultHttpHeaders();
+            CallerRequest.copyEndToEndHeaders(head.headers(), headers);
+            this.endTimer = schedule(
+                    () -> cut(ExchangeFailure.TIMED_OUT), deadlineAt - now() + STREAM_GRACE_MILLIS);
+            this.writer = responseWriter.start(
+                    status, headers, contentLength, () -> attempt.exchange.setReading(true));
+        }
+
+        @Override
+        public void onPart(ByteBuf part) {
+            writer.write(part);
+            attempt.exchange.setReading(writer.isWritable());
+        }
+
+        @Override
+        public void onEnd() {
+            close();
+            attempt.target.tracker.recordResponse(status < 500);
+            recordReturned(attempt, status);
+            writer.end();
+        }
+
+        @Override
+        public void onFailure(ExchangeFailure failure) {
+            close();
+            attempt.target.tracker.recordLostResponse();
+            abandon(failure);
+        }
+
+        /** Ends the response because the time of the caller is over. */
+        private void cut(ExchangeFailure failure) {
+            abort();
+            abandon(failure);
+        }
+
+        private void abandon(ExchangeFailure failure) {
+            requestLog.logResponseCut(attempt.summary(), failure, now() - request.receivedAt());
+            components.metrics().countDecision("response-cut", service.value());
+            if (writer.abandon()) {
+                failWithUnknownOutcome(
+                        502, "backend server " + attempt.target.backend().id() + ": " + failure);
+            }
+        }
+
+        /** Stops the server without a response to the caller. */
+        void abort() {
+            close();
+            attempt.target.tracker.recordAbandoned();
+            attempt.exchange.abort();
+        }
+
+        private void close() {
+            streamedResponse = null;
+            cancel(endTimer);
+            attempt.close();
+        }
+    }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestLog.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestLog.java
@@ -141,6 +141,26 @@
                 slowdownFactor);
     }
 
+    /** Logs that a response ended early after a part of it had arrived. */
+    void logResponseCut(AttemptSummary attempt, ExchangeFailure failure, long afterMillis) {
+        log.warn(
+                "response-cut",
+                "request",
+                requestId,
+                "route",
+                route,
+                "kind",
+                kind,
+                "service",
+                service,
+                "backend",
+                attempt.backend(),
+                "cause",
+                failure,
+                "afterMillis",
+                afterMillis);
+    }
+
     /**
      * Logs an attempt at a cold server. The attempts of all instances within a second count together against
      * the capacity of a cold server.
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ResponseDecoder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ResponseDecoder.java
@@ -1,6 +1,7 @@
 package org.jackdawslip.internal.gateway;
 
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
@@ -14,6 +15,7 @@
     private final HttpConnection connection;
 
     ResponseDecoder(HttpConnection connection) {
+        super(new HttpDecoderConfig().setMaxChunkSize(ConnectionPool.MAX_READ_BYTES));
         this.connection = connection;
     }
 
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
-import org.jackdawslip.internal.balance.IdleLimit;
 import org.jackdawslip.internal.balance.SendDecision;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -80,8 +79,8 @@
     void connectionIsNotReusedAfterTheAnnouncedIdleTimeout(String keepAlive) throws Exception {
         AtomicLong now = new AtomicLong();
         try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            ConnectionPool pool = new ConnectionPool(
-                    group, now::get, "127.0.0.1", server.getLocalPort(), new IdleLimit(), limit -> {}, () -> 1, 1);
+            ConnectionPool pool = ConnectionPool.builder(group, now::get, "127.0.0.1", server.getLocalPort())
+                    .build();
             CompletableFuture<Integer> first = get(pool);
             try (Socket connection = server.accept()) {
                 respond(connection, keepAlive);
@@ -137,7 +136,7 @@
     }
 
     private ConnectionPool pool(int port) {
-        return new ConnectionPool(
-                group, System::currentTimeMillis, "127.0.0.1", port, new IdleLimit(), limit -> {}, () -> 1, 1);
+        return ConnectionPool.builder(group, System::currentTimeMillis, "127.0.0.1", port)
+                .build();
     }
 }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/InternalHttpClientTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/InternalHttpClientTest.java
@@ -29,7 +29,7 @@
     private static final long TIMEOUT_MILLIS = 300;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final InternalHttpClient client = new InternalHttpClient(group, System::currentTimeMillis, 8);
+    private final InternalHttpClient client = new InternalHttpClient(group, System::currentTimeMillis, 8, 1_000);
     private final AtomicInteger accepted = new AtomicInteger();
     private final CountDownLatch firstRequests = new CountDownLatch(IDLE_CONNECTIONS);
     private ServerSocket server;
