Take backend servers at their word that they leave or want a pause

Change: the head of every response of a server is read for both. Leaving belongs to one incarnation and outlives stale listings; peers are told, and its keys move. A pause holds back requests, probes and ownership calls, also those whose connection is being opened; callers that only pausing servers could serve are refused at once with the time left.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
@@ -84,6 +84,10 @@
     private int consecutiveOverdue;
     private int consecutiveRejections;
     private int consecutiveUnreachable;
+    /** Whether the server stated that it is shutting down. It does not take this back. */
+    private boolean leaving;
+    /** End of the time for which the server asked this instance for no requests. */
+    private long requestedPauseUntil = IN_THE_PAST;
 
     /** Creates a tracker for an incarnation of a server. */
     public BackendTracker(Backend backend, long now) {
@@ -251,6 +255,31 @@
         return consecutiveUnreachable >= UNREACHABLE_BEFORE_PAUSE && paused(now);
     }
 
+    /** Records that the server stated that it is shutting down; returns whether this was not known. */
+    public boolean recordLeaving() {
+        boolean news = !leaving;
+        leaving = true;
+        return news;
+    }
+
+    /** Returns whether the server stated that it is shutting down. */
+    public boolean leaving() {
+        return leaving;
+    }
+
+    /**
+     * Records that the server asked this instance for no requests for some time. A shorter time does not end an
+     * earlier pause.
+     */
+    public void recordRequestedPause(long millis, long now) {
+        requestedPauseUntil = Math.max(requestedPauseUntil, now + millis);
+    }
+
+    /** Returns for how much longer the server asked for no requests, in milliseconds; 0 if it does not. */
+    public long requestedPauseMillis(long now) {
+        return Math.max(0, requestedPauseUntil - now);
+    }
+
     /** Returns whether the server is in a pause after failures. */
     public boolean paused(long now) {
         return now < pausedUntil;
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinator.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinator.java
@@ -183,7 +183,12 @@
     private void renewOrRelease(SegmentState state, KnownServers servers, long now) {
         Map<BackendServerId, Double> capacities = servers.capacities();
         Backend owner = servers.findIncarnation(state.segment.owner(), state.segment.ownerStartedAtMillis());
-        if (owner != null && capacities.containsKey(owner.id())) {
+        if (owner != null && servers.pausing().test(owner.id())) {
+            // The pause may be longer than the term of the grant. The owner holds nothing after that.
+            if (!state.callPending && now >= state.heldUntil) {
+                markFree(state, null);
+            }
+        } else if (owner != null && capacities.containsKey(owner.id())) {
             if (!state.callPending && !state.needsHigherToken && now >= state.nextCallAt) {
                 state.callPending = true;
                 state.heldUntil = Math.max(state.heldUntil, now + timing.maxHoldMillis());
@@ -202,7 +207,10 @@
             markFree(state, state.releaseConfirmed ? state.handover : null);
         } else if (state.releaseConfirmed) {
             return;
-        } else if (!state.callPending && now >= state.nextCallAt && owner != null) {
+        } else if (!state.callPending
+                && now >= state.nextCallAt
+                && owner != null
+                && !servers.pausing().test(owner.id())) {
             state.callPending = true;
             actions.announce(state.segment, false);
             actions.release(owner, state.segment);
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KnownServers.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KnownServers.java
@@ -14,11 +14,13 @@
  * @param capacities the servers that may own keys, with their relative speed
  * @param addressTaken returns whether the address of a server belongs to another server by now, so that the
  *     incarnation that had it has certainly ended
+ * @param pausing returns whether a server asked for a pause in which it receives no calls
  */
 public record KnownServers(
         Map<BackendServerId, Backend> listed,
         Map<BackendServerId, Double> capacities,
-        Predicate<Backend> addressTaken) {
+        Predicate<Backend> addressTaken,
+        Predicate<BackendServerId> pausing) {
 
     /** Returns the listed server if it is still the given incarnation, else null. */
     Backend findIncarnation(BackendServerId id, long startedAtMillis) {
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.jackdawslip.BackendServerId;
@@ -62,6 +64,10 @@
     KeyTable durable = KeyTable.empty();
     KeyCoordinator coordinator;
     long now = 1_000;
+    /** Servers that want no calls. */
+    final Set<BackendServerId> pausing = new HashSet<>();
+
+    int callsToPausingServers;
     int saveCount;
     int releaseCount;
     int handoverCount;
@@ -125,9 +131,9 @@
         for (long end = now + millis; now < end; now += 50) {
             Map<BackendServerId, Double> capacities = new TreeMap<>();
             listed.values().stream()
-                    .filter(backend -> !isAddressTaken(backend))
+                    .filter(backend -> !isAddressTaken(backend) && !pausing.contains(backend.id()))
                     .forEach(backend -> capacities.put(backend.id(), 1.0));
-            coordinator.tick(new KnownServers(listed, capacities, this::isAddressTaken), loads, now);
+            coordinator.tick(new KnownServers(listed, capacities, this::isAddressTaken, pausing::contains), loads, now);
             List<Runnable> due = List.copyOf(pendingResults);
             pendingResults.clear();
             due.forEach(Runnable::run);
@@ -174,8 +180,15 @@
         }
     }
 
+    private void countCall(Backend backend) {
+        if (pausing.contains(backend.id())) {
+            callsToPausingServers++;
+        }
+    }
+
     @Override
     public void grant(Backend backend, KeySegment segment, String handover) {
+        countCall(backend);
         if (queueDelayMillis > 0) {
             queuedGrants.add(new QueuedGrant(backend, segment, handover, now + queueDelayMillis));
         } else {
@@ -256,6 +269,7 @@
     @Override
     public void release(Backend backend, KeySegment segment) {
         releaseCount++;
+        countCall(backend);
         Server server = servers.get(backend.id());
         boolean delivered = server.running && server.reachable;
         if (delivered) {
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyCoordinatorTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyCoordinatorTest.java
@@ -228,6 +228,33 @@
         assertEquals(KeySegment.SLOTS, owners.heldSlots("s2"));
     }
 
+    /** Guards against renewals and releases at a server that asked for a pause, and against keys lost in a short one. */
+    @Test
+    void serverInAShortPauseKeepsItsKeysWithoutCalls() {
+        start("s1", "s2");
+        owners.run(8_000);
+        int before = owners.heldSlots("s1");
+        owners.pausing.add(new BackendServerId("s1"));
+        owners.run(3_000);
+        owners.pausing.clear();
+        owners.run(1_000);
+        assertEquals(0, owners.callsToPausingServers);
+        assertEquals(before, owners.heldSlots("s1"));
+        owners.run(6_000);
+        assertEquals(KeySegment.SLOTS, owners.heldSlots());
+    }
+
+    /** Guards against keys without an owner while a server pauses for longer than its grants last. */
+    @Test
+    void keysOfServerInALongPauseMoveAfterTheirTerm() {
+        start("s1", "s2");
+        owners.run(8_000);
+        owners.pausing.add(new BackendServerId("s1"));
+        owners.run(9_000);
+        assertEquals(0, owners.callsToPausingServers);
+        assertEquals(KeySegment.SLOTS, owners.heldSlots("s2"));
+    }
+
     @Test
     void plannedMoveTransfersSlotsToTheTarget() {
         start("s1", "s2");
@@ -256,7 +283,12 @@
         randomOwners.takeOver();
         for (int step = 0; step < 25; step++) {
             String name = "s" + random.nextInt(4);
-            switch (random.nextInt(10)) {
+            switch (random.nextInt(11)) {
+                case 10 -> {
+                    if (!randomOwners.pausing.remove(new BackendServerId(name))) {
+                        randomOwners.pausing.add(new BackendServerId(name));
+                    }
+                }
                 case 9 -> randomOwners.replaceByOtherService(name, 1_000 + step);
                 case 8 -> randomOwners.queueDelayMillis = random.nextBoolean() ? 0 : random.nextInt(3_000);
                 case 0 -> randomOwners.unlist(name);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -7,9 +7,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.jackdawslip.BackendServerId;
 import org.jackdawslip.FailureDomainId;
 import org.jackdawslip.InstanceId;
@@ -27,8 +32,9 @@
  * The backend servers that discovery lists, each with its tracker and the connections of this instance to the
  * server.
  *
- * <p>Invariant: a server that is draining, no longer listed or in a failure domain that is taken out, or whose
- * address belongs to a later server by now, receives no new request. Confined to the event loop.
+ * <p>Invariant: a server that is draining or has stated that it is shutting down, that is no longer listed or in a
+ * failure domain that is taken out, or whose address belongs to a later server by now, receives no new request, and
+ * a server that asked for a pause receives none until its end. Confined to the event loop.
  */
 final class BackendDirectory {
 
@@ -43,6 +49,10 @@
     /** Fraction of a server's connection limit for callers; the rest is for grant calls and health checks. */
     private static final double CALLER_CONNECTION_SHARE = 0.8;
 
+    /** Largest random extension of a requested pause, so that not all instances end it at the same time. */
+    private static final double PAUSE_SPREAD_SHARE = 0.2;
+
+    private static final long MAX_PAUSE_SPREAD_MILLIS = 1_000;
     /** Limit of a response that is buffered whole, because it is not passed on as it arrives. */
     private static final int MAX_RESPONSE_BYTES = 256 * 1024;
     /** The responses that are buffered at a time may use this part of the heap. */
@@ -71,6 +81,9 @@
     private final MonotonicClock clock;
     private final EventLog log;
     private final MembershipStatus membershipStatus;
+    private final HeaderNames headerNames;
+    private final Random random;
+    private Consumer<Target> leavingListener = target -> {};
     private final Map<String, Target> byEntry = new HashMap<>();
     private final Map<BackendServerId, Target> byId = new HashMap<>();
     private final Map<BackendTracker, Target> byTracker = new HashMap<>();
@@ -86,11 +99,24 @@
     private int liveInstanceCount = 1;
     private RoutingConfig routingConfig;
 
-    BackendDirectory(EventLoopGroup loop, MonotonicClock clock, EventLog log, MembershipStatus membershipStatus) {
+    BackendDirectory(
+            EventLoopGroup loop,
+            MonotonicClock clock,
+            EventLog log,
+            MembershipStatus membershipStatus,
+            HeaderNames headerNames,
+            Random random) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.membershipStatus = membershipStatus;
+        this.headerNames = headerNames;
+        this.random = random;
+    }
+
+    /** Sets the receiver of servers that stated in a response to this instance that they are shutting down. */
+    void setLeavingListener(Consumer<Target> listener) {
+        leavingListener = listener;
     }
 
     /**
@@ -281,17 +307,80 @@
                 && latest.backend().startedAtMillis() > backend.startedAtMillis();
     }
 
-    /** Returns whether new requests may be sent to the server. */
+    /**
+     * Records what a server states of itself in any response: that it is shutting down, or that it wants no requests
+     * for some time.
+     */
+    void recordResponseHead(Target target, int status, HttpHeaders headers) {
+        String leaving = headers.get(headerNames.leaving());
+        if (leaving != null && leaving.trim().equals(HeaderNames.LEAVING) && recordLeaving(target, "response")) {
+            leavingListener.accept(target);
+        }
+        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
+            recordRequestedPause(target, RetryAfter.parseMillis(headers.getAll(HttpHeaderNames.RETRY_AFTER)));
+        }
+    }
+
+    /**
+     * Records that this incarnation of a server is shutting down; returns whether this was not known.
+     *
+     * @param source where the statement came from, for the log
+     */
+    boolean recordLeaving(Target target, String source) {
+        boolean news = target.tracker.recordLeaving();
+        if (news) {
+            log.info(
+                    "backend-leaving",
+                    "backend",
+                    target.backend().id(),
+                    "service",
+                    target.backend().service(),
+                    "source",
+                    source);
+        }
+        return news;
+    }
+
+    private void recordRequestedPause(Target target, long millis) {
+        long now = clock.millis();
+        if (millis <= 0) {
+            return;
+        }
+        double spread = Math.min(MAX_PAUSE_SPREAD_MILLIS, PAUSE_SPREAD_SHARE * millis) * random.nextDouble();
+        boolean news = target.tracker.requestedPauseMillis(now) == 0;
+        target.tracker.recordRequestedPause(millis + Math.round(spread), now);
+        if (news) {
+            log.info(
+                    "backend-pause-requested",
+                    "backend",
+                    target.backend().id(),
+                    "service",
+                    target.backend().service(),
+                    "pauseMillis",
+                    millis);
+        }
+    }
+
+    /** Returns whether a server is listed that asked for a pause which has not ended. */
+    boolean pauseRequested(BackendServerId id) {
+        Target target = byId.get(id);
+        return target != null && target.tracker.requestedPauseMillis(clock.millis()) > 0;
+    }
+
+    /** Returns whether new requests may be sent to the server, at once or after a pause that it asked for. */
     boolean acceptsRequests(BackendTracker tracker) {
         Backend backend = tracker.backend();
         return !backend.draining()
+                && !tracker.leaving()
                 && !excludedDomains.contains(backend.domain())
                 && !trackersWithTakenAddress.contains(tracker);
     }
 
-    /** Returns whether the server is still listed and new requests may be sent to it. */
-    boolean isListedAndAcceptsRequests(Target target) {
-        return byEntry.get(target.entry) == target && acceptsRequests(target.tracker);
+    /** Returns whether the server is still listed and new requests may be sent to it now. */
+    boolean mayReceiveRequest(Target target) {
+        return byEntry.get(target.entry) == target
+                && acceptsRequests(target.tracker)
+                && target.tracker.requestedPauseMillis(clock.millis()) == 0;
     }
 
     Collection<BackendTracker> trackers(ServiceName service) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -97,7 +97,7 @@
         log = new EventLog(lines, settings.instance().value(), System::currentTimeMillis);
         membershipStatus = new MembershipStatus(clock, Clocks.wall());
         routing = new RoutingState(settings, log, random, membershipStatus);
-        directory = new BackendDirectory(group, clock, log, membershipStatus);
+        directory = new BackendDirectory(group, clock, log, membershipStatus, adapter.headers(), random);
         InternalHttpClient storeClient = storeClient(CONNECTIONS_PER_ADDRESS);
         DurableStore store = storeFactory.apply(storeClient, settings.storeAddress());
         context = new GatewayContext(settings, loop, clock, log, adapter, store);
@@ -122,6 +122,7 @@
                 Gateway.this.applyMoveAnnouncement(announcement);
             }
         });
+        directory.setLeavingListener(peers::announceLeaving);
         Balancer balancer = new Balancer(settings.domain(), random);
         RequestComponents components =
                 new RequestComponents(loop, clock, log, adapter, routing, directory, balancer, peers, metrics);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HeaderNames.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HeaderNames.java
@@ -13,6 +13,7 @@
  * @param serverId id of the backend server, in responses to health checks
  * @param warmupRemainingMillis remaining warm-up time of the backend server, in responses to health checks
  * @param key key slot of a request to a keyed service
+ * @param leaving present with the value {@link #LEAVING} if the backend server is shutting down
  * @param handover state that a backend server returns with a release, for the next owner of the keys
  */
 public record HeaderNames(
@@ -25,4 +26,9 @@
         String serverId,
         String warmupRemainingMillis,
         String key,
-        String handover) {}
+        String leaving,
+        String handover) {
+
+    /** Value of the header by which a backend server states that it is shutting down. */
+    public static final String LEAVING = "1";
+}
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -453,12 +453,16 @@
             Map<BackendServerId, Backend> listed = new HashMap<>();
             directory.backends(service).forEach(backend -> listed.put(backend.id(), backend));
             coordinator.tick(
-                    new KnownServers(listed, capacities(now), directory::isAddressTaken), serviceLoads(), now);
+                    new KnownServers(
+                            listed, capacities(now), directory::isAddressTaken, directory::pauseRequested),
+                    serviceLoads(),
+                    now);
         }
 
         private Map<BackendServerId, Double> capacities(long now) {
             List<BackendTracker> acceptingServers = directory.trackers(service).stream()
                     .filter(directory::acceptsRequests)
+                    .filter(tracker -> tracker.requestedPauseMillis(now) == 0)
                     .toList();
             return OwnerCandidates.capacities(acceptingServers, now);
         }
@@ -488,9 +492,12 @@
         public void grant(Backend server, KeySegment segment, String handover) {
             PlatformAdapter.OwnershipCall call =
                     adapter.encodeGrantCall(segment, keyTiming().holdMillis(), handover);
-            BooleanSupplier stillDue = () -> isCurrent() && coordinator.confirmGrantSend(segment, clock.millis());
+            BooleanSupplier stillDue = () -> isCurrent()
+                    && !directory.pauseRequested(server.id())
+                    && coordinator.confirmGrantSend(segment, clock.millis());
             Runnable whenDropped = () -> completeGrant(segment, GrantResult.NOT_SENT);
             ownershipCalls.enqueue(server, call, GRANT_TIMEOUT_MILLIS, stillDue, whenDropped, response -> {
+                recordResponseHead(server, response);
                 GrantResult result =
                         switch (response.status()) {
                             case STATUS_OK -> GrantResult.ACCEPTED;
@@ -504,6 +511,13 @@
             });
         }
 
+        private void recordResponseHead(Backend server, InternalHttpClient.Response response) {
+            BackendDirectory.Target target = directory.find(server.id());
+            if (target != null && target.backend().sameIncarnation(server)) {
+                directory.recordResponseHead(target, response.status(), response.headers());
+            }
+        }
+
         private void completeGrant(KeySegment segment, GrantResult result) {
             if (isCurrent()) {
                 coordinator.onGrantResult(segment, result, clock.millis());
@@ -517,9 +531,10 @@
                     server,
                     adapter.encodeReleaseCall(segment),
                     RELEASE_TIMEOUT_MILLIS,
-                    this::isCurrent,
+                    () -> isCurrent() && !directory.pauseRequested(server.id()),
                     whenDropped,
                     response -> {
+                        recordResponseHead(server, response);
                         boolean confirmed = response.status() == STATUS_OK;
                         logOwnershipCall(confirmed ? "keys-released" : "release-failed", server, segment, response);
                         completeRelease(
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -79,6 +79,7 @@
     private static final int FIELD_KEY = 3;
     private static final int FIELD_COMPLETE = 4;
     private static final int FIELD_MOVE_ANNOUNCEMENT = 5;
+    private static final int FIELD_LEAVING = 6;
 
     private final GatewayContext context;
     private final InstanceId self;
@@ -250,6 +251,15 @@
         peers.values().forEach(peer -> send(peer.address(), bytes));
     }
 
+    /** Sends to all peers that a server stated that it is shutting down, before its listing shows it. */
+    void announceLeaving(BackendDirectory.Target target) {
+        PeerMessages.LeavingServer leaving = new PeerMessages.LeavingServer(
+                target.backend().id(), target.backend().startedAtMillis());
+        byte[] bytes =
+                PeerMessages.encode(output -> output.writeByteArray(FIELD_LEAVING, PeerMessages.encode(leaving)));
+        peers.values().forEach(peer -> send(peer.address(), bytes));
+    }
+
     private void repeatCounts() {
         List<BackendDirectory.Target> targetsInFlight = directory.all().stream()
                 .filter(target -> target.tracker.inFlight() > 0)
@@ -348,6 +358,7 @@
                             sender, PeerMessages.decodeServerState(input.readByteArray()));
                     case FIELD_MOVE_ANNOUNCEMENT -> listener.moveAnnounced(
                             PeerMessages.decodeMoveAnnouncement(input.readByteArray()));
+                    case FIELD_LEAVING -> applyLeaving(PeerMessages.decodeLeavingServer(input.readByteArray()));
                     case FIELD_KEY -> {
                         PeerMessages.KeyUse use = PeerMessages.decodeKeyUse(input.readByteArray());
                         listener.keyUsed(use.service(), use.slot());
@@ -357,6 +368,13 @@
             }
         }
 
+        private void applyLeaving(PeerMessages.LeavingServer leaving) {
+            BackendDirectory.Target target = directory.find(leaving.id());
+            if (target != null && target.backend().startedAtMillis() == leaving.startedAtMillis()) {
+                directory.recordLeaving(target, "peer");
+            }
+        }
+
         private void applyServerState(InstanceId sender, PeerMessages.ServerState server) {
             BackendDirectory.Target target = directory.find(server.id());
             if (target == null || sender == null) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerMessages.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerMessages.java
@@ -35,6 +35,8 @@
     private static final int SERVER_SLOTS = 5;
     private static final int SERVER_SLOWDOWN_PERCENT = 6;
     private static final int SERVER_SERVICE_TIME_PERCENT = 7;
+    private static final int LEAVING_ID = 1;
+    private static final int LEAVING_STARTED = 2;
     private static final int KEY_SERVICE = 1;
     private static final int KEY_SLOT = 2;
 
@@ -50,6 +52,14 @@
      */
     record ServerState(BackendServerId id, int inFlight, LoadReport report, int serviceTimePercent) {}
 
+    /**
+     * An incarnation of a backend server that stated that it is shutting down. Immutable and thread-safe.
+     *
+     * @param id the backend server
+     * @param startedAtMillis start of the incarnation in milliseconds since the epoch
+     */
+    record LeavingServer(BackendServerId id, long startedAtMillis) {}
+
     /**
      * A request for a key. Immutable and thread-safe.
      *
@@ -117,6 +127,27 @@
                 new BackendServerId(id), numbers[SERVER_IN_FLIGHT], report, numbers[SERVER_SERVICE_TIME_PERCENT]);
     }
 
+    static byte[] encode(LeavingServer leaving) {
+        return encode(output -> {
+            output.writeString(LEAVING_ID, leaving.id().value());
+            output.writeInt64(LEAVING_STARTED, leaving.startedAtMillis());
+        });
+    }
+
+    static LeavingServer decodeLeavingServer(byte[] bytes) throws IOException {
+        CodedInputStream input = CodedInputStream.newInstance(bytes);
+        String id = "";
+        long startedAtMillis = 0;
+        for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case LEAVING_ID -> id = input.readString();
+                case LEAVING_STARTED -> startedAtMillis = input.readInt64();
+                default -> input.skipField(tag);
+            }
+        }
+        return new LeavingServer(new BackendServerId(id), startedAtMillis);
+    }
+
     static byte[] encode(KeyUse use) {
         return encode(output -> {
             output.writeString(KEY_SERVICE, use.service().value());
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -177,8 +177,7 @@
             if (keySlot >= 0 && serverSelector.mayWaitForOwner(now)) {
                 ownerPollTimer = schedule(this::attemptNextServer, OWNER_POLL_INTERVAL_MILLIS);
             } else {
-                excessMillis = keySlot >= 0 ? MAX_EXCESS_MILLIS : 0;
-                refuse(keySlot >= 0 ? ErrorCode.NO_OWNER : ErrorCode.NO_BACKEND_SERVER, "no server can take it");
+                refuseWithoutServer();
             }
             return;
         }
@@ -193,6 +192,20 @@
         startAttempt(server, expectedMillis);
     }
 
+    private void refuseWithoutServer() {
+        long pauseMillis = serverSelector.requestedPauseMillis();
+        if (pauseMillis > 0) {
+            excessMillis = pauseMillis;
+            refuse(ErrorCode.NO_BACKEND_SERVER, "every server that can take it asked for a pause");
+        } else if (keySlot >= 0) {
+            excessMillis = MAX_EXCESS_MILLIS;
+            refuse(ErrorCode.NO_OWNER, "no server can take it");
+        } else {
+            excessMillis = 0;
+            refuse(ErrorCode.NO_BACKEND_SERVER, "no server can take it");
+        }
+    }
+
     private LatencyEstimate latency() {
         return serverSelector.latency();
     }
@@ -501,7 +514,7 @@
         @Override
         public SendDecision beforeSend(boolean verified) {
             long now = now();
-            if (finished || !components.directory().isListedAndAcceptsRequests(target) || now >= deadlineAt) {
+            if (finished || !components.directory().mayReceiveRequest(target) || now >= deadlineAt) {
                 return SendDecision.WITHDRAW;
             }
             boolean cold = target.tracker.cold(now);
@@ -531,6 +544,11 @@
             return new StateProbe(components, target, serverSelector.healthCheckPath());
         }
 
+        @Override
+        public void onResponseHead(HttpResponse head) {
+            components.directory().recordResponseHead(target, head.status().code(), head.headers());
+        }
+
         /** Returns whether the response is one to another request or to a state probe. */
         private boolean isUnrelated(HttpResponse response) {
             HeaderNames names = components.adapter().headers();
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerSelector.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerSelector.java
@@ -2,7 +2,9 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import org.jackdawslip.BackendServerId;
 import org.jackdawslip.ServiceName;
@@ -33,6 +35,9 @@
     /** Longest wait for an owner as a fraction of the target latency, so that the response may be on time. */
     private static final double MAX_OWNER_WAIT_SHARE = 0.5;
 
+    /** Largest random extension of the time after which refused callers come back to a server that paused. */
+    private static final double PAUSE_SPREAD_SHARE = 0.3;
+
     private final RequestComponents components;
     private final HostRoute route;
     private final ServiceConfig service;
@@ -96,6 +101,31 @@
         rejectedAt = components.clock().millis();
     }
 
+    /**
+     * Returns the time in milliseconds until the first server ends a pause that it asked for, or 0 if no server that
+     * could take the request is in such a pause. A random part spreads the callers that come back then.
+     */
+    long requestedPauseMillis() {
+        long now = components.clock().millis();
+        long shortest = candidatesForRequest(now)
+                .mapToLong(server -> server.requestedPauseMillis(now))
+                .filter(millis -> millis > 0)
+                .min()
+                .orElse(0);
+        return Math.round(shortest * (1 + PAUSE_SPREAD_SHARE * ThreadLocalRandom.current().nextDouble()));
+    }
+
+    private Stream<BackendTracker> candidatesForRequest(long now) {
+        if (!keyed()) {
+            return components.directory().trackers(service.name()).stream()
+                    .filter(server -> components.directory().acceptsRequests(server));
+        }
+        KeySegment segment = components.routing().ownerView(service.name()).find(keySlot, now);
+        BackendDirectory.Target owner =
+                segment == null ? null : components.directory().find(segment.owner());
+        return owner == null ? Stream.empty() : Stream.of(owner.tracker);
+    }
+
     /** Returns whether an owner is expected early enough for the response to be on time. */
     boolean mayWaitForOwner(long now) {
         if (waitStartedAt < 0) {
@@ -112,7 +142,10 @@
             return owners.moving(keySlot, now);
         }
         BackendDirectory.Target target = components.directory().find(segment.owner());
-        return target != null && !isAvoided(target.tracker, now) && mayBecomeAvailable(target.tracker, now);
+        return target != null
+                && target.tracker.requestedPauseMillis(now) == 0
+                && !isAvoided(target.tracker, now)
+                && mayBecomeAvailable(target.tracker, now);
     }
 
     /** Returns whether waiting for the owner is useful: only some instances send to a cold server. */
@@ -132,7 +165,9 @@
             return null;
         }
         BackendTracker tracker = target.tracker;
-        if (isAvoided(tracker, now) || !components.routing().warmupGate().admits(tracker, now)) {
+        if (tracker.requestedPauseMillis(now) > 0
+                || isAvoided(tracker, now)
+                || !components.routing().warmupGate().admits(tracker, now)) {
             return null;
         }
         lastSegment = segment;
@@ -168,6 +203,7 @@
 
     private boolean isCandidate(BackendTracker server, long now) {
         return components.directory().acceptsRequests(server)
+                && server.requestedPauseMillis(now) == 0
                 && !excludedServers.contains(server.backend().id())
                 && components.routing().warmupGate().admits(server, now);
     }
