Let one instance of each failure domain watch the store

Cause: each instance made about one call to the store a second. Change: the first instance of a failure domain, in an order that all derive from the live instances, watches the store; the others watch its view. Each result has the age of the view. A source that fails is left out for 3 s and the store is asked at once; the budget of a change has two more steps (docs/platform.md, "Changes in time"). Ruled out: a longer watch at each instance, which needs another sign of a lost answer.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ChangeTimeBudget.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ChangeTimeBudget.java
@@ -24,9 +24,17 @@
     /** Time from the choice of a backend server for a request to the arrival of the request there. */
     private static final long REQUEST_DELIVERY_MILLIS = 50;
 
+    /** Time for passing a change on from the instance that watches the store to the others of its failure domain. */
+    private static final long FEED_DELIVERY_MILLIS = 50;
+    /** Longest wait of a watch at another instance; such watches cause no calls to the store. */
+    private static final long MAX_SOURCE_WAIT_MILLIS = 800;
+    /** Part of the time limit for the wait of a watch at another instance that does not answer. */
+    private static final double SOURCE_WAIT_SHARE = 0.4;
+
     /**
      * Steps after the wait of a watch in the worst case: its response, a page without a response, the full
-     * read again, the delay of the event loop, and a request.
+     * read again, the delay of the event loop, the delivery to another instance, the delay of its event loop, and a
+     * request.
      */
     private static final long FIXED_STEPS_MILLIS = WATCH_RESPONSE_MILLIS
             + MAX_FIRST_RETRY_DELAY_MILLIS
@@ -34,6 +42,8 @@
             + MAX_FIRST_RETRY_DELAY_MILLIS
             + FULL_READ_MILLIS
             + EVENT_LOOP_DELAY_MILLIS
+            + FEED_DELIVERY_MILLIS
+            + EVENT_LOOP_DELAY_MILLIS
             + REQUEST_DELIVERY_MILLIS;
 
     /**
@@ -49,6 +59,7 @@
     private static final long MIN_WATCH_WAIT_MILLIS = 100;
 
     private final long watchWaitMillis;
+    private final long sourceWaitMillis;
     private final long maxWatchDelayMillis;
 
     /**
@@ -57,6 +68,7 @@
     ChangeTimeBudget(long limitMillis) {
         long variableMillis = Math.max(0, limitMillis - FIXED_STEPS_MILLIS);
         watchWaitMillis = Math.max(MIN_WATCH_WAIT_MILLIS, Math.round(WATCH_SHARE * variableMillis));
+        sourceWaitMillis = Math.min(MAX_SOURCE_WAIT_MILLIS, Math.round(SOURCE_WAIT_SHARE * limitMillis));
         maxWatchDelayMillis = Math.max(0, variableMillis - watchWaitMillis);
     }
 
@@ -67,6 +79,11 @@
         return watchWaitMillis;
     }
 
+    /** Returns the wait of one watch at another instance that watches the store. */
+    long sourceWaitMillis() {
+        return sourceWaitMillis;
+    }
+
     /** Returns the delay between two watches if the first one returned changes. */
     long watchDelayMillis(int instances) {
         long delayMillis = Math.max(MIN_DELAY_MILLIS, DELAY_MILLIS_PER_INSTANCE * instances);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/DurableStore.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/DurableStore.java
@@ -44,8 +44,22 @@
      * @param revision the store's revision, or the revision of a write
      * @param lease the lease that was created, else 0
      * @param leaseMillis the term of the lease in milliseconds, else 0
+     * @param ageMillis how long before the start of the call the result was certainly current, in milliseconds; 0 for
+     *     responses of the store itself
      */
-    record Result(Status status, List<StoreRecord> records, long revision, long lease, long leaseMillis) {
+    record Result(
+            Status status,
+            List<StoreRecord> records,
+            long revision,
+            long lease,
+            long leaseMillis,
+            long ageMillis) {
+
+        /** Creates a result that is as current as its call. */
+        public Result(Status status, List<StoreRecord> records, long revision, long lease, long leaseMillis) {
+            this(status, records, revision, lease, leaseMillis, 0);
+        }
+
         /** Returns a result without content. */
         public static Result of(Status status) {
             return new Result(status, List.of(), 0, 0, 0);
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FeedReader.java
@@ -0,0 +1,163 @@
+package org.jackdawslip.internal.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.jackdawslip.InstanceId;
+import org.jackdawslip.internal.logging.EventLog;
+import org.jackdawslip.internal.membership.InstanceOrder;
+import org.jackdawslip.internal.time.MonotonicClock;
+
+/**
+ * Follows the platform's store through one instance of the own failure domain, the <em>source</em>, which watches the
+ * store itself. The calls to the store then grow with the number of failure domains and not with the number of
+ * instances.
+ *
+ * <p>All instances order the live instances of their failure domain in the same way, and each uses the first that has
+ * not failed lately; the first one of all uses the store. A source that does not answer, or refuses because it does
+ * not follow the store itself, is not asked for {@link #SOURCE_PAUSE_MILLIS}, and the call goes to the store. So a call
+ * ends at most one timeout of a watch later than without sources, and a failed source costs one call to the store for
+ * each instance. Reads of all records always go to the store.
+ *
+ * <p>Invariant: a result through a source has the age of the view of the source, so that its content is never taken as
+ * newer than it is. Confined to the event loop.
+ */
+final class FeedReader implements StoreReader {
+
+    /** Time for which a source that failed is not asked. */
+    static final long SOURCE_PAUSE_MILLIS = 3_000;
+
+    /** Calls a source. */
+    interface SourceClient {
+
+        /** Waits for changes in the view of the instance at the address; see {@link ViewFeed#watch}. */
+        void watch(
+                String address,
+                long afterRevision,
+                long waitMillis,
+                long timeoutMillis,
+                Consumer<DurableStore.Result> whenDone);
+    }
+
+    private final FailoverReader store;
+    private final SourceClient sourceClient;
+    private final InstanceId self;
+    private final MonotonicClock clock;
+    private final EventLog log;
+    private final ChangeTimeBudget budget;
+    private final Map<InstanceId, Long> pausedUntil = new HashMap<>();
+    /** The possible sources that precede this instance. */
+    private List<Source> sources = List.of();
+    /** The source of the newest watch, or null if it went to the store. */
+    private Source followed;
+
+    private long resultsOfSources;
+
+    /** An instance of the own failure domain. Immutable and thread-safe. */
+    private record Source(InstanceId id, String address) {}
+
+    FeedReader(GatewayContext context, FailoverReader store, SourceClient sourceClient) {
+        this.store = store;
+        this.sourceClient = sourceClient;
+        this.self = context.settings().instance();
+        this.clock = context.clock();
+        this.log = context.log();
+        this.budget = new ChangeTimeBudget(context.settings().platformLimits().maxChangeMillis());
+    }
+
+    /** Sets the live instances. */
+    void setLivePeers(Map<InstanceId, PeerExchange.Peer> instances) {
+        store.setLivePeers(instances);
+        List<Source> preceding = new ArrayList<>();
+        instances.forEach((id, peer) -> {
+            if (peer.sameDomain() && InstanceOrder.COMPARATOR.compare(id, self) < 0) {
+                String address =
+                        peer.address().getHostString() + ":" + peer.address().getPort();
+                preceding.add(new Source(id, address));
+            }
+        });
+        preceding.sort(Comparator.comparing(Source::id, InstanceOrder.COMPARATOR));
+        sources = preceding;
+        pausedUntil.keySet().retainAll(instances.keySet());
+    }
+
+    /** Returns whether the store, and no source, is followed. */
+    boolean followsStore() {
+        return followed == null;
+    }
+
+    /** Returns whether the store serves the direct calls of this instance, as far as known. */
+    boolean direct() {
+        return store.direct();
+    }
+
+    /** Returns the number of results that came from sources. */
+    long resultsOfSources() {
+        return resultsOfSources;
+    }
+
+    /** Returns the number of instances that read the store beside this one and at the same rate. */
+    int storeReaders(int liveInstances) {
+        return sources.isEmpty() ? 1 : liveInstances;
+    }
+
+    /** Records that the store served another call of this instance. */
+    void recordOtherCallServed() {
+        store.recordOtherCallServed();
+    }
+
+    @Override
+    public void readAll(String prefix, long timeoutMillis, Consumer<DurableStore.Result> whenDone) {
+        store.readAll(prefix, timeoutMillis, whenDone);
+    }
+
+    @Override
+    public void watch(
+            String prefix,
+            long afterRevision,
+            long waitMillis,
+            long timeoutMillis,
+            Consumer<DurableStore.Result> whenDone) {
+        followed = selectSource();
+        if (followed == null) {
+            store.watch(prefix, afterRevision, waitMillis, timeoutMillis, whenDone);
+            return;
+        }
+        Source source = followed;
+        long sourceWaitMillis = budget.sourceWaitMillis();
+        sourceClient.watch(
+                source.address,
+                afterRevision,
+                sourceWaitMillis,
+                sourceWaitMillis + ChangeTimeBudget.WATCH_RESPONSE_MILLIS,
+                result -> {
+                    if (result.status() == DurableStore.Status.DONE) {
+                        resultsOfSources++;
+                        whenDone.accept(result);
+                    } else {
+                        pause(source, result.status());
+                        store.watch(prefix, afterRevision, waitMillis, timeoutMillis, whenDone);
+                    }
+                });
+    }
+
+    private Source selectSource() {
+        long now = clock.millis();
+        return sources.stream()
+                .filter(source -> pausedUntil.getOrDefault(source.id, Long.MIN_VALUE) <= now)
+                .findFirst()
+                .orElse(null);
+    }
+
+    private void pause(Source source, DurableStore.Status status) {
+        pausedUntil.put(source.id, clock.millis() + SOURCE_PAUSE_MILLIS);
+        log.info("view-source-failed", "source", source.id, "status", status);
+        if (source.equals(followed)) {
+            followed = null;
+        }
+    }
+}
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -65,6 +65,8 @@
     private final BackendDirectory directory;
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final FailoverReader reader;
+    private final FeedReader feedReader;
+    private final ViewFeed feed;
     private final StoreRelay relay;
     private final PlatformView view;
     private final MemberListings memberListings;
@@ -103,8 +105,16 @@
         context = new GatewayContext(settings, loop, clock, log, adapter, store);
         InternalHttpClient peerClient = storeClient(CONNECTIONS_PER_ADDRESS);
         reader = new FailoverReader(context, peer -> storeFactory.apply(peerClient, peer), peerClient::removeAddress);
-        relay = new StoreRelay(context, storeClient(StoreRelay.MAX_CALLS_IN_FLIGHT), reader::direct);
-        view = new PlatformView(context, reader, membershipStatus, this::apply);
+        feedReader =
+                new FeedReader(context, reader, new ViewFeedClient(storeClient(CONNECTIONS_PER_ADDRESS)));
+        feed = new ViewFeed(
+                loop,
+                clock,
+                Clocks.wall(),
+                settings.platformLimits().maxChangeMillis(),
+                feedReader::followsStore);
+        relay = new StoreRelay(context, storeClient(StoreRelay.MAX_CALLS_IN_FLIGHT), feed, reader::direct);
+        view = new PlatformView(context, feedReader, feed, membershipStatus, this::apply);
         memberListings = new MemberListings(context, view, membershipStatus, this::membersChanged);
         LeaseGuard guard = new LeaseGuard(clock, Clocks.wall());
         InternalHttpClient ownershipClient =
@@ -200,6 +210,9 @@
         metrics.registerGauge("store.lost", () -> view.storeLost() ? 1 : 0);
         metrics.registerGauge("store.direct", () -> reader.direct() ? 1 : 0);
         metrics.registerGauge("store.answers.through.peers", reader::relayedResponses);
+        metrics.registerGauge("view.follows.store", () -> feedReader.followsStore() ? 1 : 0);
+        metrics.registerGauge("view.results.of.sources", feedReader::resultsOfSources);
+        metrics.registerGauge("view.watches.answered", feed::answeredWatches);
         metrics.registerGauge("store.calls.for.peers", relay::relayedCalls);
     }
 
@@ -251,7 +264,7 @@
 
     private void membersChanged(Map<InstanceId, PeerExchange.Peer> live) {
         peers.setLivePeers(live);
-        reader.setLivePeers(live);
+        feedReader.setLivePeers(live);
         routing.setLiveInstances(List.copyOf(live.keySet()));
         Set<InstanceId> instances = routing.instances();
         directory.setLiveInstanceCount(instances.size());
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/InternalHttpClient.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/InternalHttpClient.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -54,13 +55,18 @@
     }
 
     /**
-     * The response to a call. Immutable and thread-safe.
+     * The response to a call. Immutable and thread-safe if the content is not changed.
      *
      * @param status the HTTP status, or 0 if the call failed without a response
      * @param headers the headers; empty if the call failed without a response
-     * @param body the body as text, or the name of the {@link ExchangeFailure}
+     * @param content the body, or the name of the {@link ExchangeFailure}
      */
-    public record Response(int status, HttpHeaders headers, String body) {
+    public record Response(int status, HttpHeaders headers, byte[] content) {
+
+        /** Returns the body as text, or the name of the {@link ExchangeFailure}. */
+        public String body() {
+            return new String(content, StandardCharsets.UTF_8);
+        }
 
         /** Returns whether the call was completed by a response. */
         public boolean received() {
@@ -166,14 +172,14 @@
 
         @Override
         public boolean onResponse(FullHttpResponse response) {
-            String body = response.content().toString(StandardCharsets.UTF_8);
-            finish(new Response(response.status().code(), response.headers().copy(), body));
+            byte[] content = ByteBufUtil.getBytes(response.content());
+            finish(new Response(response.status().code(), response.headers().copy(), content));
             return true;
         }
 
         @Override
         public void onFailure(ExchangeFailure failure) {
-            finish(new Response(0, EmptyHttpHeaders.INSTANCE, failure.name()));
+            finish(new Response(0, EmptyHttpHeaders.INSTANCE, failure.name().getBytes(StandardCharsets.UTF_8)));
         }
 
         private void finish(Response result) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -14,7 +14,8 @@
 
 /**
  * Keeps a current copy of the platform's records in the store: reads all records once, then watches for
- * changes.
+ * changes, at the store or at another instance that watches the store ({@link FeedReader}), and passes the changes
+ * on ({@link ViewFeed}).
  *
  * <p>While the store cannot be reached, neither directly nor through a peer ({@link FailoverReader}), the
  * last copy stays in use. Listings that are missing when the store can be reached again are kept for
@@ -41,7 +42,11 @@
     /** A listing expires after three heartbeats without renewal, the first of which may precede an outage. */
     private static final int MIN_HEARTBEATS_UNTIL_EXPIRY = 2;
 
-    private final FailoverReader reader;
+    /** Delay after changes that another instance passed on. It combines changes already. */
+    private static final long DELAY_AFTER_PASSED_ON_CHANGES_MILLIS = 0;
+
+    private final FeedReader reader;
+    private final ViewFeed feed;
     private final PlatformAdapter adapter;
     private final EventLoop loop;
     private final MonotonicClock clock;
@@ -83,10 +88,12 @@
 
     PlatformView(
             GatewayContext context,
-            FailoverReader reader,
+            FeedReader reader,
+            ViewFeed feed,
             MembershipStatus membershipStatus,
             Consumer<PlatformEvent> listener) {
         this.reader = reader;
+        this.feed = feed;
         this.adapter = context.adapter();
         this.loop = context.loop();
         this.clock = context.clock();
@@ -116,11 +123,11 @@
 
     /**
      * Records the result of any other call to the store, so that an outage is detected while a watch waits.
-     * While the store is read through a peer, failures are ignored: direct calls are expected to fail then.
+     * While the view comes through a peer, failures are ignored: they say nothing about the age of the view.
      */
     void recordCallResult(DurableStore.Status status) {
         if (status == DurableStore.Status.UNKNOWN || status == DurableStore.Status.REFUSED) {
-            if (!reader.direct()) {
+            if (!reader.direct() || !reader.followsStore()) {
                 return;
             }
             boolean newlyLost = !storeLost;
@@ -180,7 +187,11 @@
         if (!synced) {
             log.info("platform-synced", "revision", viewRevision, "records", present.size());
         }
+        if (!synced) {
+            feed.start(viewRevision);
+        }
         synced = true;
+        feed.update(viewRevision, newestViewAt);
         watch();
     }
 
@@ -210,7 +221,7 @@
         switch (result.status()) {
             case DONE -> {
                 recordResponse(elapsedMillis - budget.watchWaitMillis(), ChangeTimeBudget.WATCH_RESPONSE_MILLIS);
-                if (result.records().isEmpty() && result.revision() > viewRevision) {
+                if (reader.followsStore() && result.records().isEmpty() && result.revision() > viewRevision) {
                     // All keys are below the watched prefix, so the watch missed the changes that raised the
                     // revision.
                     log.warn("watch-missed-changes", "from", viewRevision, "to", result.revision());
@@ -220,7 +231,8 @@
                 recordView(sentAt, "watch", result);
                 result.records().forEach(this::apply);
                 viewRevision = Math.max(viewRevision, result.revision());
-                scheduleNext(this::watch, result.records().isEmpty() ? 0 : budget.watchDelayMillis(liveInstances));
+                feed.update(viewRevision, newestViewAt);
+                scheduleNext(this::watch, result.records().isEmpty() ? 0 : delayAfterChanges());
             }
             case HISTORY_GONE -> {
                 log.info("platform-history-gone", "revision", viewRevision);
@@ -238,6 +250,12 @@
         }
     }
 
+    private long delayAfterChanges() {
+        return reader.followsStore()
+                ? budget.watchDelayMillis(reader.storeReaders(liveInstances))
+                : DELAY_AFTER_PASSED_ON_CHANGES_MILLIS;
+    }
+
     /**
      * Schedules the next call after a read or watch that failed.
      *
@@ -292,7 +310,8 @@
      * view.
      */
     private void recordView(long sentAt, String call, DurableStore.Result result) {
-        membershipStatus.recordView(sentAt);
+        long currentAt = sentAt - result.ageMillis();
+        membershipStatus.recordView(currentAt);
         if (!result.records().isEmpty()) {
             log.info(
                     "changes-taken",
@@ -307,7 +326,7 @@
                     "viewAgeMillis",
                     clock.millis() - newestViewAt);
         }
-        newestViewAt = sentAt;
+        newestViewAt = Math.max(newestViewAt, currentAt);
     }
 
     /** Sets the number of live instances, this one included. */
@@ -321,6 +340,7 @@
         if (storeRecord.revision() <= knownRevision) {
             return;
         }
+        feed.add(storeRecord);
         if (storeRecord.value() != null) {
             revisions.put(storeRecord.key(), storeRecord.revision());
             notifyListener(storeRecord);
@@ -362,6 +382,7 @@
         if (!storeLost) {
             storeLost = true;
             outageStartedAt = unservedSince;
+            feed.suspend();
             log.warn("store-lost", "call", call, "status", status, "revision", viewRevision);
         }
         outageStartedAt = Math.min(outageStartedAt, unservedSince);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StoreRelay.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StoreRelay.java
@@ -25,7 +25,8 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 
 /**
- * Forwards read calls to the platform's store for instances that the store does not serve.
+ * Forwards read calls to the platform's store for instances that the store does not serve, and accepts the watches
+ * of the {@link ViewFeed}.
  *
  * <p>A call is sent to the store unchanged after it arrived here, and the response of the store is returned
  * unchanged, so a relayed response is as current as a direct one. Only read calls are relayed. Calls are
@@ -49,6 +50,7 @@
 
     private final GatewayContext context;
     private final InternalHttpClient storeClient;
+    private final ViewFeed feed;
     private final BooleanSupplier storeServesInstance;
     private int callsInFlight;
     private long relayedCalls;
@@ -57,11 +59,17 @@
      * Creates a relay.
      *
      * @param storeClient sends the calls to the store and is used for nothing else
+     * @param feed the changes of the view of this instance
      * @param storeServesInstance returns whether the store serves this instance
      */
-    StoreRelay(GatewayContext context, InternalHttpClient storeClient, BooleanSupplier storeServesInstance) {
+    StoreRelay(
+            GatewayContext context,
+            InternalHttpClient storeClient,
+            ViewFeed feed,
+            BooleanSupplier storeServesInstance) {
         this.context = context;
         this.storeClient = storeClient;
+        this.feed = feed;
         this.storeServesInstance = storeServesInstance;
     }
 
@@ -99,7 +107,11 @@
             callPending = true;
             boolean keepAlive = HttpUtil.isKeepAlive(request);
             String uri = request.uri();
-            if (!request.method().equals(HttpMethod.GET) || !context.adapter().isStoreRead(uri)) {
+            if (!request.method().equals(HttpMethod.GET)) {
+                respond(channel, keepAlive, HttpResponseStatus.NOT_FOUND, "");
+            } else if (ViewFeedClient.isFeedCall(uri)) {
+                watchFeed(channel, keepAlive, uri);
+            } else if (!context.adapter().isStoreRead(uri)) {
                 respond(channel, keepAlive, HttpResponseStatus.NOT_FOUND, "");
             } else if (callsInFlight >= MAX_CALLS_IN_FLIGHT || !storeServesInstance.getAsBoolean()) {
                 respond(channel, keepAlive, HttpResponseStatus.SERVICE_UNAVAILABLE, "");
@@ -117,13 +129,30 @@
             }
         }
 
+        private void watchFeed(ChannelHandlerContext channel, boolean keepAlive, String uri) {
+            try {
+                ViewFeedClient.dispatch(feed, uri, result -> {
+                    boolean done = result.status() == DurableStore.Status.DONE;
+                    respond(
+                            channel,
+                            keepAlive,
+                            done ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                            done ? ViewChangesCodec.encode(result) : new byte[0]);
+                });
+            } catch (IllegalArgumentException e) {
+                respond(channel, keepAlive, HttpResponseStatus.BAD_REQUEST, e.getMessage());
+            }
+        }
+
         private void respond(ChannelHandlerContext channel, boolean keepAlive, HttpResponseStatus status, String text) {
+            respond(channel, keepAlive, status, text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        private void respond(ChannelHandlerContext channel, boolean keepAlive, HttpResponseStatus status, byte[] body) {
             callPending = false;
-            byte[] body = text.getBytes(StandardCharsets.UTF_8);
             FullHttpResponse response =
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
             HttpUtil.setKeepAlive(response, keepAlive);
             channel.writeAndFlush(response)
                     .addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeedClient.java
@@ -0,0 +1,71 @@
+package org.jackdawslip.internal.gateway;
+
+import java.io.IOException;
+import java.util.function.Consumer;
+
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.QueryStringDecoder;
+
+/**
+ * Calls the {@link ViewFeed} of other instances over HTTP. Confined to the event loop.
+ */
+final class ViewFeedClient implements FeedReader.SourceClient {
+
+    private static final String PATH = "/view-changes";
+    private static final String AFTER = "after";
+    private static final String WAIT = "wait";
+
+    private final InternalHttpClient client;
+
+    ViewFeedClient(InternalHttpClient client) {
+        this.client = client;
+    }
+
+    /** Returns whether the URI is one of a call to a feed. */
+    static boolean isFeedCall(String uri) {
+        return uri.startsWith(PATH + "?");
+    }
+
+    /**
+     * Passes a call to the feed.
+     *
+     * @throws IllegalArgumentException if a parameter is missing or not a number
+     */
+    static void dispatch(ViewFeed feed, String uri, Consumer<DurableStore.Result> whenDone) {
+        QueryStringDecoder query = new QueryStringDecoder(uri);
+        feed.watch(number(query, AFTER), number(query, WAIT), whenDone);
+    }
+
+    private static long number(QueryStringDecoder query, String parameter) {
+        if (!query.parameters().containsKey(parameter)) {
+            throw new IllegalArgumentException("parameter " + parameter + " is missing");
+        }
+        return Long.parseLong(query.parameters().get(parameter).get(0));
+    }
+
+    @Override
+    public void watch(
+            String address,
+            long afterRevision,
+            long waitMillis,
+            long timeoutMillis,
+            Consumer<DurableStore.Result> whenDone) {
+        String uri = PATH + "?" + AFTER + "=" + afterRevision + "&" + WAIT + "=" + waitMillis;
+        client.call(
+                address, HttpMethod.GET, uri, null, timeoutMillis, response -> whenDone.accept(decode(response)));
+    }
+
+    private static DurableStore.Result decode(InternalHttpClient.Response response) {
+        if (response.status() == HttpResponseStatus.OK.code()) {
+            try {
+                return ViewChangesCodec.decode(response.content());
+            } catch (IOException e) {
+                // An invalid message is handled like a missing one: the store is asked.
+                return DurableStore.Result.of(DurableStore.Status.UNKNOWN);
+            }
+        }
+        return DurableStore.Result.of(
+                response.received() ? DurableStore.Status.REFUSED : DurableStore.Status.UNKNOWN);
+    }
+}
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ChangeInForceTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ChangeInForceTest.java
@@ -186,6 +186,49 @@
                 return 0;
             }
         },
+        /** An instance through which others follow the store stops to answer them, up to 800 ms before the change. */
+        SOURCE_SILENT {
+            @Override
+            long makeChangeDuring(SimulatedViews views, Random random, Runnable change) {
+                SimulatedViews.Instance source = views.randomSource();
+                source.silent(true);
+                views.store.run(random.nextInt(800));
+                change.run();
+                return 0;
+            }
+        },
+        /** The store refuses an instance through which others follow it, and serves the others. */
+        SOURCE_REFUSED {
+            @Override
+            long makeChangeDuring(SimulatedViews views, Random random, Runnable change) {
+                SimulatedViews.Instance source = views.randomSource();
+                source.client.refused(true);
+                views.store.run(random.nextInt(2_000));
+                change.run();
+                return 0;
+            }
+        },
+        /** The store no longer answers an instance through which others follow it. */
+        SOURCE_UNRESPONSIVE {
+            @Override
+            long makeChangeDuring(SimulatedViews views, Random random, Runnable change) {
+                SimulatedViews.Instance source = views.randomSource();
+                source.client.unresponsive(true);
+                views.store.run(random.nextInt(2_000));
+                change.run();
+                return 0;
+            }
+        },
+        /** The event loop of an instance through which others follow the store is delayed. */
+        SOURCE_EVENT_LOOP_DELAYED {
+            @Override
+            long makeChangeDuring(SimulatedViews views, Random random, Runnable change) {
+                views.randomSource().client.delayEventLoop(150);
+                views.store.run(random.nextInt(3_000));
+                change.run();
+                return 0;
+            }
+        },
         /** The event loop of one instance is delayed. */
         EVENT_LOOP_DELAYED {
             @Override
@@ -407,6 +450,30 @@
         assertInForceInTime(Fault.EVENT_LOOP_DELAYED, change);
     }
 
+    /** Guards against instances that rely on one through which they follow the store when it fails. */
+    @ParameterizedTest
+    @EnumSource
+    void changeIsInForceAlthoughASourceFails(Change change) {
+        assertInForceInTime(Fault.SOURCE_SILENT, change);
+        assertInForceInTime(Fault.SOURCE_REFUSED, change);
+        assertInForceInTime(Fault.SOURCE_UNRESPONSIVE, change);
+        assertInForceInTime(Fault.SOURCE_EVENT_LOOP_DELAYED, change);
+    }
+
+    /** Guards against calls to the store that grow with the number of instances. */
+    @Test
+    void callsToTheStoreDoNotGrowWithTheFleet() {
+        long[] calls = new long[2];
+        for (int i = 0; i < calls.length; i++) {
+            SimulatedViews views = new SimulatedViews(i == 0 ? 12 : 300, TIME_LIMITS_MILLIS[1], new Random(1));
+            views.store.run(SETTLE_MILLIS);
+            int before = views.store.watchCount;
+            views.store.run(PARTIAL_FAULT_MILLIS);
+            calls[i] = views.store.watchCount - before;
+        }
+        assertTrue(calls[1] <= 1.2 * calls[0], () -> calls[0] + " and " + calls[1] + " watches");
+    }
+
     @ParameterizedTest
     @EnumSource
     void changeIsInForceAtAnInstanceThatTheStoreRefuses(Change change) {
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedStore.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedStore.java
@@ -37,6 +37,7 @@
     private boolean outage;
     long now;
     int callCount;
+    int watchCount;
 
     SimulatedStore() {
         channel.freezeTime();
@@ -184,6 +185,7 @@
         private void call(
                 boolean watch, long timeoutMillis, Consumer<Result> whenDone, Consumer<Consumer<Result>> action) {
             callCount++;
+            watchCount += watch ? 1 : 0;
             boolean[] done = new boolean[1];
             Consumer<Result> once = result -> {
                 if (!done[0]) {
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
@@ -61,6 +61,9 @@
     /** Largest number of calls that one instance relayed for its peers at the same time. */
     int maxCallsForPeers;
 
+    /** Number of watches at other instances. */
+    int watchesAtSources;
+
     private int version = 1;
 
     SimulatedViews(int count, long limitMillis, Random random) {
@@ -83,7 +86,7 @@
             Map<InstanceId, PeerExchange.Peer> live = new HashMap<>();
             instances.forEach(
                     each -> live.put(each.id, new PeerExchange.Peer(each.address, each.domain == instance.domain)));
-            instance.reader.setLivePeers(live);
+            instance.feedReader.setLivePeers(live);
         }
     }
 
@@ -142,6 +145,14 @@
         }
     }
 
+    /** Returns a random instance through which others follow the store, or any if there is none. */
+    Instance randomSource() {
+        List<Instance> sources = instances.stream()
+                .filter(each -> each.feed.answeredWatches() > 0 && each.feedReader.followsStore())
+                .toList();
+        return sources.isEmpty() ? randomInstance() : sources.get(random.nextInt(sources.size()));
+    }
+
     Instance randomInstance() {
         return instances.get(random.nextInt(instances.size()));
     }
@@ -153,11 +164,14 @@
         private final int domain;
         private final InetSocketAddress address;
         final FailoverReader reader;
+        final FeedReader feedReader;
+        final ViewFeed feed;
         private final PlatformView view;
         RoutingConfig config;
         final Map<String, Boolean> drainingByEntry = new HashMap<>();
         final Set<FailureDomainId> takenOut = new HashSet<>();
         private int callsForPeers;
+        private boolean silent;
 
         Instance(int number, int fleet) {
             id = new InstanceId("front-" + number);
@@ -167,13 +181,52 @@
             GatewayContext context =
                     new GatewayContext(settings(id, limitMillis), store.loop(), () -> store.now, log, adapter, client);
             reader = new FailoverReader(context, peer -> new RelayPath(this, peer), peer -> {});
+            feedReader = new FeedReader(context, reader, this::watchSource);
+            feed = new ViewFeed(
+                    store.loop(), () -> store.now, () -> store.now, limitMillis, feedReader::followsStore);
             view = new PlatformView(
-                    context, reader, new MembershipStatus(() -> store.now, () -> store.now), this::apply);
+                    context,
+                    feedReader,
+                    feed,
+                    new MembershipStatus(() -> store.now, () -> store.now),
+                    this::apply);
             store.loop().schedule(view::start, random.nextInt(1_000), TimeUnit.MILLISECONDS);
             view.setLiveInstanceCount(fleet);
             scheduleRenewal(random.nextInt((int) RENEWAL_INTERVAL_MILLIS));
         }
 
+        /** Watches the feed of another instance. */
+        private void watchSource(
+                String address,
+                long afterRevision,
+                long waitMillis,
+                long timeoutMillis,
+                Consumer<DurableStore.Result> whenDone) {
+            Instance source = find(address);
+            watchesAtSources++;
+            boolean[] done = new boolean[1];
+            Consumer<DurableStore.Result> once = result -> {
+                if (!done[0]) {
+                    done[0] = true;
+                    whenDone.accept(result);
+                }
+            };
+            schedule(timeoutMillis, () -> once.accept(DurableStore.Result.of(DurableStore.Status.UNKNOWN)));
+            if (cutLinks.contains(id + " " + source.id) || source.silent) {
+                return;
+            }
+            schedule(LINK_DELAY_MILLIS, () -> source.feed.watch(afterRevision, waitMillis, result -> {
+                if (!source.silent) {
+                    schedule(LINK_DELAY_MILLIS, () -> once.accept(result));
+                }
+            }));
+        }
+
+        /** Sets whether this instance answers no watches of other instances. */
+        void silent(boolean set) {
+            silent = set;
+        }
+
         /** Renews a lease at intervals, because the view uses results of other calls to detect outages. */
         private void scheduleRenewal(long millis) {
             store.loop()
@@ -220,10 +273,7 @@
 
         RelayPath(Instance from, String address) {
             this.from = from;
-            this.to = instances.stream()
-                    .filter(each -> address.equals(each.id.value() + ":1"))
-                    .findFirst()
-                    .orElseThrow();
+            this.to = find(address);
         }
 
         @Override
@@ -273,9 +323,17 @@
             });
         }
 
-        private void schedule(long millis, Runnable action) {
-            store.loop().schedule(action, millis, TimeUnit.MILLISECONDS);
-        }
+    }
+
+    private void schedule(long millis, Runnable action) {
+        store.loop().schedule(action, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private Instance find(String address) {
+        return instances.stream()
+                .filter(each -> address.equals(each.id.value() + ":1"))
+                .findFirst()
+                .orElseThrow();
     }
 
     static GatewaySettings settings(InstanceId id, long limitMillis) {
