Let instances claim the role of key coordinator in turn

Cause: all instances tried to claim a free role within 250 ms, three calls to the store each, although one succeeds. Change: an instance waits 0.3 s for each one before it in the common order, at most four times, and then not at all if it has learned of a holder. Tests: GatewaySessionTest.secondInstanceBecomesKeyCoordinator covers the takeover; the number of calls has no test of its own.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -31,6 +31,7 @@
 import org.jackdawslip.internal.keyspace.KnownServers;
 import org.jackdawslip.internal.keyspace.OwnerCandidates;
 import org.jackdawslip.internal.logging.EventLog;
+import org.jackdawslip.internal.membership.InstanceOrder;
 import org.jackdawslip.internal.time.LeaseGuard;
 import org.jackdawslip.internal.time.MonotonicClock;
 import org.jackdawslip.internal.traffic.ServiceConfig;
@@ -60,8 +61,12 @@
     private static final long REBALANCE_INTERVAL_MILLIS = 700;
     /** Requests per possible owner that must have been counted before keys are moved because of load. */
     private static final double MIN_REQUESTS_PER_OWNER = 2;
-    /** Limit of the random delay that spreads the attempts of the instances to claim a free role. */
+    /** Limit of the random part of the delay before an attempt to claim a free role. */
     private static final int MAX_CLAIM_DELAY_MILLIS = 250;
+    /** Delay for each instance whose turn to claim the role is earlier. */
+    private static final long CLAIM_RANK_DELAY_MILLIS = 300;
+    /** Instances after this rank do not wait longer, in case those before it do not run. */
+    private static final int MAX_CLAIM_RANK = 4;
     /** Delay after a failed attempt to claim the role. */
     private static final long CLAIM_RETRY_DELAY_MILLIS = 700;
     /**
@@ -234,10 +239,19 @@
                 && view.isServedDirectly()
                 && !keyedServices().isEmpty()) {
             claimPending = true;
-            loop.schedule(this::claim, random.nextInt(MAX_CLAIM_DELAY_MILLIS), TimeUnit.MILLISECONDS);
+            loop.schedule(this::claim, claimDelayMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
+    /**
+     * Returns the delay before an attempt to claim the role. Most instances learn of the new holder before their turn
+     * and make no attempt.
+     */
+    private long claimDelayMillis() {
+        int rank = Math.min(MAX_CLAIM_RANK, InstanceOrder.rank(self, routing.instances()));
+        return rank * CLAIM_RANK_DELAY_MILLIS + random.nextInt(MAX_CLAIM_DELAY_MILLIS);
+    }
+
     private void claim() {
         if (roleHolder != null || stopped) {
             claimPending = false;
