Refuse requests that cannot end within a planned stop

Cause: requests were taken until 2.6 s after the signal whatever time was left, and those still open at the end were cut without an answer, among them requests that run at most once. Change: an attempt is started only if four times its expected time, or twice if it may be repeated, fits into the rest of the stop; otherwise the request is refused as not run. What is open at the end is answered before the process exits. Tests: GatewaySessionTest.requestThatCannotEndInTheStopIsRefusedBeforeItIsSent and requestThatIsOpenAtTheEndOfTheStopIsAnswered.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
@@ -166,6 +166,15 @@
         }
     }
 
+    /** Answers the requests that have no response yet, whatever their attempts do. */
+    void answerOpenRequests() {
+        for (PendingRequest pending : List.copyOf(pendingRequests)) {
+            if (pending.forwarder != null) {
+                pending.forwarder.onInstanceExit();
+            }
+        }
+    }
+
     /** Returns whether a request on this connection has no response yet. */
     boolean hasPendingRequests() {
         return !pendingRequests.isEmpty();
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerServer.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerServer.java
@@ -124,6 +124,11 @@
         }
     }
 
+    /** Answers the requests that are still open, because the process is about to exit. */
+    void answerOpenRequests() {
+        List.copyOf(connections).forEach(CallerConnection::answerOpenRequests);
+    }
+
     boolean readingStopped() {
         return readingStopped;
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -40,6 +40,8 @@
     private static final long STOP_MARGIN_MILLIS = 400;
     /** Interval between checks for open requests while the instance stops. */
     private static final long STOP_POLL_INTERVAL_MILLIS = 50;
+    /** Time for the responses that are written at the end of the stop. */
+    private static final long LAST_RESPONSE_MILLIS = 150;
     /** Interval between checks for expired idle connections. */
     private static final long CONNECTION_EXPIRY_INTERVAL_MILLIS = 1_000;
     /** Interval between checks whether this instance became established or ceased to be. */
@@ -74,6 +76,7 @@
     private final PeerExchange peers;
     private final CallerServer callerServer;
     private final PlatformAdapter adapter;
+    private final PlannedStop plannedStop = new PlannedStop();
     private boolean established;
     private boolean stopping;
     private long stopStartedAt;
@@ -135,7 +138,8 @@
         directory.setLeavingListener(peers::announceLeaving);
         Balancer balancer = new Balancer(settings.domain(), random);
         RequestComponents components =
-                new RequestComponents(loop, clock, log, adapter, routing, directory, balancer, peers, metrics);
+                new RequestComponents(
+                        loop, clock, log, adapter, routing, directory, balancer, peers, metrics, plannedStop);
         callerServer = new CallerServer(group, components);
     }
 
@@ -300,6 +304,7 @@
             stopping = true;
             stopStartedAt = clock.millis();
             whenStopped = done;
+            plannedStop.start(stopStartedAt + settings.platformLimits().maxStopMillis() - STOP_MARGIN_MILLIS);
             log.info("stopping", "openConnections", callerServer.countBusyConnections());
             keyCoordinatorRole.stop();
             memberListings.stop();
@@ -310,15 +315,16 @@
 
     private void finishStopWhenIdle() {
         long elapsedMillis = clock.millis() - stopStartedAt;
-        boolean timeLimitReached = elapsedMillis > settings.platformLimits().maxStopMillis() - STOP_MARGIN_MILLIS;
+        boolean timeLimitReached = clock.millis() >= plannedStop.endsAt();
         if (elapsedMillis > MIN_STOP_MILLIS) {
             callerServer.closeGracefully();
         }
         if (timeLimitReached || elapsedMillis > MIN_STOP_MILLIS && callerServer.countBusyConnections() == 0) {
             log.info("stopped", "afterMillis", elapsedMillis, "openConnections", callerServer.countBusyConnections());
+            callerServer.answerOpenRequests();
             view.stop();
             peers.close();
-            loop.schedule(whenStopped, STOP_POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(whenStopped, LAST_RESPONSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
         loop.schedule(this::finishStopWhenIdle, STOP_POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestComponents.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestComponents.java
@@ -17,6 +17,7 @@
  * @param balancer chooses a backend server for a request
  * @param peers the exchange of load reports and key uses with other instances
  * @param metrics counters and histograms
+ * @param plannedStop the time that a planned stop leaves for requests
  */
 record RequestComponents(
         EventLoop loop,
@@ -27,4 +28,5 @@
         BackendDirectory directory,
         Balancer balancer,
         PeerExchange peers,
-        GatewayMetrics metrics) {}
+        GatewayMetrics metrics,
+        PlannedStop plannedStop) {}
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -147,6 +147,7 @@
         requestLog.setContext(route, service, keySlot);
         serverSelector = new ServerSelector(components, route, serviceConfig, keySlot);
         components.routing().retryBudget(service).recordRequest(now());
+        deadlineAt = Math.min(deadlineAt, components.plannedStop().endsAt());
         deadlineTimer = schedule(this::handleDeadline, deadlineAt - now());
         attemptNextServer();
     }
@@ -189,6 +190,10 @@
             refuse(ErrorCode.QUEUE_FULL, "expected time " + Math.round(expectedMillis) + " ms exceeds the useful time");
             return;
         }
+        if (!components.plannedStop().admits(route.kind(), expectedMillis, now)) {
+            refuse(ErrorCode.STOPPING, "the instance stops before a response can be expected");
+            return;
+        }
         startAttempt(server, expectedMillis);
     }
 
@@ -426,6 +431,17 @@
         }
     }
 
+    /** Answers the request, if it is open, because the process is about to exit. */
+    void onInstanceExit() {
+        if (streamedResponse != null) {
+            streamedResponse.cut(ExchangeFailure.TIMED_OUT);
+        } else if (!finished && possibleExecutions == 0) {
+            refuse(ErrorCode.STOPPING, "the instance stops before the request was sent");
+        } else if (!finished) {
+            failWithUnknownOutcome(504, "the instance stops before the backend server responded");
+        }
+    }
+
     private void finish() {
         finished = true;
         cancelTimers();
