Record the load of a server that refuses a state probe

Cause: a full server refuses the probe at once; its load in that response was dropped, so it looked idle and was chosen again. Change: the load report of such a response is recorded. No test of its own.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StateProbe.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StateProbe.java
@@ -59,7 +59,10 @@
         HeaderNames names = components.adapter().headers();
         HttpHeaders headers = response.headers();
         int status = response.status().code();
+        long now = components.clock().millis();
         if (headers.contains(names.notExecuted()) && (status == STATUS_OVERLOADED || status == STATUS_RATE_LIMITED)) {
+            // Without its load, a server that refuses at once would appear to be idle.
+            recordLoadReport(headers, probeSentAt, now);
             return ExchangeFailure.SERVER_FULL;
         }
         String reportedId = headers.get(names.serverId());
@@ -75,11 +78,7 @@
         if (status != STATUS_HEALTHY && status != STATUS_UNHEALTHY || reportedId == null || remainingMillis < 0) {
             return ExchangeFailure.NO_STATEMENT;
         }
-        long now = components.clock().millis();
-        LoadReport load = components.adapter().decodeLoadReport(headers);
-        if (load != null) {
-            target.tracker.recordLoadReport(load, now, now - probeSentAt);
-        }
+        LoadReport load = recordLoadReport(headers, probeSentAt, now);
         // A server that reports its load responds to probes immediately, so the report is as old as the probe
         // at most. Other servers queue the probe until a slot is free, so their report is as new as the
         // response.
@@ -87,6 +86,14 @@
         return null;
     }
 
+    private LoadReport recordLoadReport(HttpHeaders headers, long probeSentAt, long now) {
+        LoadReport load = components.adapter().decodeLoadReport(headers);
+        if (load != null) {
+            target.tracker.recordLoadReport(load, now, now - probeSentAt);
+        }
+        return load;
+    }
+
     /** Returns the time in milliseconds, 0 if the header is missing, or -1 if it is not a number. */
     private static long parseRemainingMillis(String text) {
         try {
