--- a/jackdawslip-cli/src/main/java/org/jackdawslip/cli/ExplainCommand.java
+++ b/jackdawslip-cli/src/main/java/org/jackdawslip/cli/ExplainCommand.java
@@ -124,6 +124,8 @@
                                 + line.path("backend").asText();
                         case "request-sent-again" -> "sent again: "
                                 + line.path("cause").asText();
+                        case "response-cut" -> "the response ended early: "
+                                + line.path("cause").asText();
                         case "request-caller-left" -> "the caller left";
                         default -> "";
                     };
