Split the forwarder of requests

Change: StreamedResponse, BackendResponse and AttemptFailures are classes of their own; sources are formatted. An outage of the store is measured from the watch at the store, not from the watch at a source before it.

--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
@@ -57,6 +57,7 @@
     private final Map<BackendServerId, Backend> listed = new HashMap<>();
     /** Start of the server of another service that is listed at an address. */
     private final Map<String, Long> otherServices = new HashMap<>();
+
     private final long[] highestToken = new long[KeySegment.SLOTS];
     private final BackendServerId[] highestTokenHolder = new BackendServerId[KeySegment.SLOTS];
     private final List<Runnable> pendingResults = new ArrayList<>();
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -91,6 +91,7 @@
     private final Map<String, Target> latestByAddress = new HashMap<>();
     /** Listed servers whose address belongs to a server that started later. */
     private final Set<BackendTracker> trackersWithTakenAddress = new HashSet<>();
+
     private final Map<ServiceName, Map<String, BackendTracker>> byService = new HashMap<>();
     private final Map<ServiceName, IdleLimit> idleLimits = new HashMap<>();
     private final ResponseMemory responseMemory =
@@ -146,8 +147,7 @@
         IdleLimit idleLimit = idleLimits.computeIfAbsent(backend.service(), service -> new IdleLimit());
         ConnectionPool pool = ConnectionPool.builder(loop, clock, backend.host(), backend.port())
                 .idleLimit(idleLimit, limitMillis -> logIdleLimit(backend, limitMillis))
-                .connections(
-                        () -> maxIdleConnections(backend.service()), maxConnections(backend.service()))
+                .connections(() -> maxIdleConnections(backend.service()), maxConnections(backend.service()))
                 .responseMemory(MAX_RESPONSE_BYTES, responseMemory)
                 .build();
         Target target = new Target(entry, tracker, pool);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
@@ -272,8 +272,7 @@
         }
 
         @Override
-        public ResponseBodyWriter start(
-                int status, HttpHeaders headers, long contentLength, Runnable newOnWritable) {
+        public ResponseBodyWriter start(int status, HttpHeaders headers, long contentLength, Runnable newOnWritable) {
             head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
             head.headers().add(headers);
             if (contentLength == UNKNOWN_LENGTH) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerRequest.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerRequest.java
@@ -39,6 +39,16 @@
             "expect",
             "content-length");
 
+    /** Returns the value of a header, without a fraction, or null if it is missing or not a number. */
+    Long numericHeader(String header) {
+        String text = headers.get(header);
+        try {
+            return text == null ? null : (long) Double.parseDouble(text.trim());
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+
     /** Returns the URI without query and fragment. */
     String path() {
         int end = 0;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -222,7 +222,8 @@
     private HttpConnection pollUsableConnection() {
         HttpConnection connection = idleConnections.pollLast();
         while (connection != null && !connection.isUsable(now())) {
-            connection.close();
+            // A connection that is only being closed would still count against the limit.
+            discard(connection);
             connection = idleConnections.pollLast();
         }
         return connection;
@@ -260,8 +261,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline()
-                                .addLast(new HttpRequestEncoder(), connection.decoder(), connection);
+                        channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder(), connection);
                     }
                 });
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/DurableStore.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/DurableStore.java
@@ -48,12 +48,7 @@
      *     responses of the store itself
      */
     record Result(
-            Status status,
-            List<StoreRecord> records,
-            long revision,
-            long lease,
-            long leaseMillis,
-            long ageMillis) {
+            Status status, List<StoreRecord> records, long revision, long lease, long leaseMillis, long ageMillis) {
 
         /** Creates a result that is as current as its call. */
         public Result(Status status, List<StoreRecord> records, long revision, long lease, long leaseMillis) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FeedReader.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FeedReader.java
@@ -55,6 +55,9 @@
     /** The source of the newest watch, or null if it went to the store. */
     private Source followed;
 
+    /** Start of the newest watch at the store. */
+    private long storeWatchStartedAt;
+
     private long resultsOfSources;
 
     /** An instance of the own failure domain. Immutable and thread-safe. */
@@ -124,7 +127,7 @@
             Consumer<DurableStore.Result> whenDone) {
         followed = selectSource();
         if (followed == null) {
-            store.watch(prefix, afterRevision, waitMillis, timeoutMillis, whenDone);
+            watchStore(prefix, afterRevision, waitMillis, timeoutMillis, whenDone);
             return;
         }
         Source source = followed;
@@ -140,11 +143,26 @@
                         whenDone.accept(result);
                     } else {
                         pause(source, result.status());
-                        store.watch(prefix, afterRevision, waitMillis, timeoutMillis, whenDone);
+                        watchStore(prefix, afterRevision, waitMillis, timeoutMillis, whenDone);
                     }
                 });
     }
 
+    private void watchStore(
+            String prefix,
+            long afterRevision,
+            long waitMillis,
+            long timeoutMillis,
+            Consumer<DurableStore.Result> whenDone) {
+        storeWatchStartedAt = clock.millis();
+        store.watch(prefix, afterRevision, waitMillis, timeoutMillis, whenDone);
+    }
+
+    /** Returns the monotonic time in milliseconds at which the newest watch at the store started. */
+    long storeWatchStartedAt() {
+        return storeWatchStartedAt;
+    }
+
     private Source selectSource() {
         long now = clock.millis();
         return sources.stream()
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -108,14 +108,9 @@
         context = new GatewayContext(settings, loop, clock, log, adapter, store);
         InternalHttpClient peerClient = storeClient(CONNECTIONS_PER_ADDRESS);
         reader = new FailoverReader(context, peer -> storeFactory.apply(peerClient, peer), peerClient::removeAddress);
-        feedReader =
-                new FeedReader(context, reader, new ViewFeedClient(storeClient(CONNECTIONS_PER_ADDRESS)));
+        feedReader = new FeedReader(context, reader, new ViewFeedClient(storeClient(CONNECTIONS_PER_ADDRESS)));
         feed = new ViewFeed(
-                loop,
-                clock,
-                Clocks.wall(),
-                settings.platformLimits().maxChangeMillis(),
-                feedReader::followsStore);
+                loop, clock, Clocks.wall(), settings.platformLimits().maxChangeMillis(), feedReader::followsStore);
         relay = new StoreRelay(context, storeClient(StoreRelay.MAX_CALLS_IN_FLIGHT), feed, reader::direct);
         view = new PlatformView(context, feedReader, feed, membershipStatus, this::apply);
         memberListings = new MemberListings(context, view, membershipStatus, this::membersChanged);
@@ -137,9 +132,8 @@
         });
         directory.setLeavingListener(peers::announceLeaving);
         Balancer balancer = new Balancer(settings.domain(), random);
-        RequestComponents components =
-                new RequestComponents(
-                        loop, clock, log, adapter, routing, directory, balancer, peers, metrics, plannedStop);
+        RequestComponents components = new RequestComponents(
+                loop, clock, log, adapter, routing, directory, balancer, peers, metrics, plannedStop);
         callerServer = new CallerServer(group, components);
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -206,7 +206,8 @@
     /** Adds bytes to the buffered body; returns false if the body exceeds a limit. */
     private boolean buffer(ByteBuf bytes) {
         int length = bytes.readableBytes();
-        if (body.readableBytes() + length > pool.maxBufferedBytes() || !pool.memory().tryReserve(length)) {
+        if (body.readableBytes() + length > pool.maxBufferedBytes()
+                || !pool.memory().tryReserve(length)) {
             return false;
         }
         if (length > 0) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -467,8 +467,7 @@
             Map<BackendServerId, Backend> listed = new HashMap<>();
             directory.backends(service).forEach(backend -> listed.put(backend.id(), backend));
             coordinator.tick(
-                    new KnownServers(
-                            listed, capacities(now), directory::isAddressTaken, directory::pauseRequested),
+                    new KnownServers(listed, capacities(now), directory::isAddressTaken, directory::pauseRequested),
                     serviceLoads(),
                     now);
         }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlannedStop.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlannedStop.java
@@ -28,7 +28,7 @@
         endsAt = newEndsAt;
     }
 
-    /** Returns the time at which open requests are answered, or {@link Long#MAX_VALUE} if the instance is not stopping. */
+    /** Returns when open requests are answered, or {@link Long#MAX_VALUE} if the instance is not stopping. */
     long endsAt() {
         return endsAt;
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -242,9 +242,10 @@
                 log.info("watch-unanswered", "status", result.status(), "afterMillis", elapsedMillis);
                 // The store may fail to deliver changes to watches, so all records are read after a watch
                 // without a response.
-                boolean unanswered = elapsedMillis >= budget.watchWaitMillis();
+                long storeDueAt = reader.storeWatchStartedAt() + budget.watchWaitMillis();
+                boolean unanswered = clock.millis() >= storeDueAt;
                 boolean read = unanswered || clock.millis() - newestViewAt > MAX_WATCH_GAP_MILLIS;
-                long dueAt = Math.min(clock.millis(), sentAt + budget.watchWaitMillis());
+                long dueAt = Math.min(clock.millis(), storeDueAt);
                 retryAfterFailure("watch", result.status(), sentAt, dueAt, read ? this::readAll : this::watch);
             }
         }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -3,10 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -68,8 +66,6 @@
     private static final long STREAM_GRACE_MILLIS = 200;
 
     private static final int STATUS_MISDIRECTED = 421;
-    /** Statuses of declined requests; only a header confirms that the server did not execute the request. */
-    private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, STATUS_MISDIRECTED, 429, 503);
 
     private final RequestComponents components;
     private final CallerRequest request;
@@ -130,13 +126,13 @@
             return;
         }
         Long requestedTimeoutMillis =
-                numericHeader(components.adapter().headers().remainingMillis());
+                request.numericHeader(components.adapter().headers().remainingMillis());
         long callerTimeoutMillis = requestedTimeoutMillis == null ? route.timeoutMillis() : requestedTimeoutMillis;
         deadlineAt = request.receivedAt() + Math.min(callerTimeoutMillis, route.timeoutMillis());
         queueUntil = request.receivedAt()
                 + components.routing().admission().responseTimeLimitMillis(route, callerTimeoutMillis);
         if (serviceConfig.keyed()) {
-            Long slot = numericHeader(components.adapter().headers().key());
+            Long slot = request.numericHeader(components.adapter().headers().key());
             if (slot == null || slot < 0 || slot >= KeySegment.SLOTS) {
                 refuse(ErrorCode.INVALID_REQUEST, "a keyed service needs a key slot");
                 return;
@@ -152,15 +148,6 @@
         attemptNextServer();
     }
 
-    private Long numericHeader(String header) {
-        String text = request.headers().get(header);
-        try {
-            return text == null ? null : (long) Double.parseDouble(text.trim());
-        } catch (NumberFormatException e) {
-            return null;
-        }
-    }
-
     /**
      * Sends the request to the best available server, waits for an owner of the key, or refuses the request.
      */
@@ -340,7 +327,7 @@
         }
         if (retryable && tryUseRetryBudget()) {
             retry("status " + response.status().code(), attempt);
-        } else if (NOT_EXECUTED_STATUSES.contains(response.status().code())) {
+        } else if (BackendResponse.looksNotRun(response)) {
             failWithUnknownOutcome(
                     502,
                     "the backend server answered " + response.status().code() + " without stating that it did not run");
@@ -434,7 +421,7 @@
     /** Answers the request, if it is open, because the process is about to exit. */
     void onInstanceExit() {
         if (streamedResponse != null) {
-            streamedResponse.cut(ExchangeFailure.TIMED_OUT);
+            streamedResponse.cutAtDeadline();
         } else if (!finished && possibleExecutions == 0) {
             refuse(ErrorCode.STOPPING, "the instance stops before the request was sent");
         } else if (!finished) {
@@ -471,7 +458,7 @@
     }
 
     /** One attempt of the request at one backend server. */
-    private final class Attempt implements ExchangeListener {
+    private final class Attempt implements ExchangeListener, StreamedResponse.Listener {
         private final BackendDirectory.Target target;
         private final FullHttpRequest backendRequest;
         /**
@@ -486,6 +473,8 @@
 
         private final double estimatedRequestsAtStart;
 
+        private final AttemptFailures failures;
+
         private ConnectionPool.Exchange exchange;
         private boolean open = true;
 
@@ -496,6 +485,7 @@
             this.expectedMillis = expectedMillis;
             this.estimatedRequestsAtStart = Math.round(10 * target.tracker.estimatedRequests(sentAt)) / 10.0;
             this.queued = estimatedRequestsAtStart >= target.backend().slots();
+            this.failures = new AttemptFailures(target.tracker, keySlot >= 0, requestLog, this::summary);
         }
 
         RequestLog.AttemptSummary summary() {
@@ -506,21 +496,13 @@
         void abort() {
             close();
             if (sent && now() - sentAt > OVERDUE_FACTOR * expectedMillis) {
-                boolean wasPaused = target.tracker.paused(now());
-                target.tracker.recordOverdue(now());
-                logIfAvoided(wasPaused, "responses are overdue");
+                failures.recordOverdue(now());
             } else {
                 target.tracker.recordAbandoned();
             }
             exchange.abort();
         }
 
-        private void logIfAvoided(boolean wasPaused, String cause) {
-            if (!wasPaused && target.tracker.paused(now())) {
-                requestLog.logServerAvoided(summary(), cause, target.tracker.pauseMillis());
-            }
-        }
-
         private void close() {
             open = false;
             RequestForwarder.this.openAttempts.remove(this);
@@ -567,30 +549,11 @@
 
         /** Returns whether the response is one to another request or to a state probe. */
         private boolean isUnrelated(HttpResponse response) {
-            HeaderNames names = components.adapter().headers();
-            String responseId = response.headers().get(names.requestId());
-            if (responseId != null && !responseId.equals(requestId)) {
-                requestLog.logUnrelatedResponse(summary(), responseId);
-                return true;
-            }
-            if (responseId == null
-                    && response.headers().contains(names.serverId())
-                    && response.status().code() != STATUS_MISDIRECTED) {
-                // Only responses to state probes contain a server id and no request id.
-                requestLog.logUnrelatedResponse(summary(), "repeated response to a state probe");
-                return true;
+            String foreignId = BackendResponse.foreignId(components.adapter().headers(), response, requestId);
+            if (foreignId != null) {
+                requestLog.logUnrelatedResponse(summary(), foreignId);
             }
-            return false;
-        }
-
-        private boolean reportsNotRun(HttpResponse response) {
-            return response.headers().contains(components.adapter().headers().notExecuted())
-                    || response.status().code() == STATUS_MISDIRECTED;
-        }
-
-        private boolean lacksSignature(HttpResponse response) {
-            return response.status().code() < 300
-                    && !response.headers().contains(components.adapter().headers().signature());
+            return foreignId != null;
         }
 
         private LoadReport recordLoadReport(HttpResponse response) {
@@ -620,19 +583,53 @@
             }
             long contentLength = HttpUtil.getContentLength(head, ResponseWriter.UNKNOWN_LENGTH);
             if (finished
-                    || reportsNotRun(head)
+                    || BackendResponse.reportsNotRun(components.adapter().headers(), head)
                     || head.status().code() >= 500
-                    || lacksSignature(head)
+                    || BackendResponse.lacksSignature(components.adapter().headers(), head)
                     || !responseWriter.canWriteParts(contentLength)) {
                 return null;
             }
             recordServiceTime(recordLoadReport(head));
             openAttempts.remove(this);
             finish();
-            streamedResponse = new StreamedResponse(this, head, contentLength);
+            streamedResponse = new StreamedResponse(exchange, head, this);
+            deadlineTimer = schedule(streamedResponse::cutAtDeadline, deadlineAt - now() + STREAM_GRACE_MILLIS);
+            streamedResponse.start(responseWriter, contentLength);
             return streamedResponse;
         }
 
+        @Override
+        public void onStreamClosed() {
+            streamedResponse = null;
+            cancelTimers();
+            close();
+        }
+
+        @Override
+        public void onStreamCompleted(int status) {
+            target.tracker.recordResponse(status < 500);
+            recordReturned(this, status);
+        }
+
+        @Override
+        public void onStreamCut(ExchangeFailure failure, boolean answerable) {
+            if (failure == ExchangeFailure.TIMED_OUT) {
+                target.tracker.recordAbandoned();
+            } else {
+                target.tracker.recordLostResponse();
+            }
+            requestLog.logResponseCut(summary(), failure, now() - request.receivedAt());
+            components.metrics().countDecision("response-cut", service.value());
+            if (answerable) {
+                failWithUnknownOutcome(502, "backend server " + target.backend().id() + ": " + failure);
+            }
+        }
+
+        @Override
+        public void onStreamAbandoned() {
+            target.tracker.recordAbandoned();
+        }
+
         @Override
         public boolean onResponse(FullHttpResponse response) {
             String responseId =
@@ -643,7 +640,7 @@
             }
             close();
             LoadReport load = recordLoadReport(response);
-            if (reportsNotRun(response)) {
+            if (BackendResponse.reportsNotRun(components.adapter().headers(), response)) {
                 if (!exchange.recordRefusal(responseId != null)) {
                     requestLog.logUnrelatedResponse(
                             summary(), "refusal without a request id, possibly a copy of an earlier one");
@@ -654,9 +651,7 @@
                     return true;
                 }
                 if (status == STATUS_MISDIRECTED) {
-                    boolean wasPaused = target.tracker.paused(now());
-                    recordRejection(now());
-                    logIfAvoided(wasPaused, "requests are rejected");
+                    failures.recordRejection("requests are rejected", now());
                 } else {
                     target.tracker.recordNotRun();
                 }
@@ -667,7 +662,7 @@
             }
             boolean success = status < 500;
             target.tracker.recordResponse(success);
-            if (lacksSignature(response)) {
+            if (BackendResponse.lacksSignature(components.adapter().headers(), response)) {
                 if (!finished) {
                     handleFailure(this, ExchangeFailure.MALFORMED_ANSWER);
                 }
@@ -687,116 +682,17 @@
             return true;
         }
 
-        private void recordFailureBeforeSend(ExchangeFailure failure) {
-            long now = now();
-            boolean wasPaused = target.tracker.paused(now);
-            switch (failure) {
-                case NOT_CONNECTED, NO_STATEMENT -> {
-                    target.tracker.recordAbandoned();
-                    target.tracker.recordUnreachable(now);
-                    logIfAvoided(
-                            wasPaused,
-                            failure == ExchangeFailure.NOT_CONNECTED
-                                    ? "connection could not be opened"
-                                    : "no valid state report");
-                }
-                case OTHER_SERVER -> {
-                    recordRejection(now);
-                    logIfAvoided(wasPaused, "address belongs to another server");
-                }
-                default -> target.tracker.recordAbandoned();
-            }
-        }
-
-        private void recordRejection(long now) {
-            target.tracker.recordRejection(now);
-            if (keySlot < 0) {
-                target.tracker.startPause(now);
-            }
-        }
-
         @Override
         public void onFailure(ExchangeFailure failure) {
             close();
             if (failure.mayHaveRun()) {
                 target.tracker.recordLostResponse();
             } else {
-                recordFailureBeforeSend(failure);
+                failures.recordFailureBeforeSend(failure, now());
             }
             if (!finished) {
                 handleFailure(this, failure);
             }
         }
     }
-
-    /**
-     * A large response that is passed on to the caller as it arrives, as fast as the caller reads. It cannot be
-     * replaced by another one once a part of it was sent to the caller.
-     */
-    private final class StreamedResponse implements BodyReceiver {
-        private final Attempt attempt;
-        private final int status;
-        private final ResponseBodyWriter writer;
-        private final ScheduledFuture<?> endTimer;
-
-        StreamedResponse(Attempt attempt, HttpResponse head, long contentLength) {
-            this.attempt = attempt;
-            this.status = head.status().code();
-            HttpHeaders headers = new DefaultHttpHeaders();
-            CallerRequest.copyEndToEndHeaders(head.headers(), headers);
-            this.endTimer = schedule(
-                    () -> cut(ExchangeFailure.TIMED_OUT), deadlineAt - now() + STREAM_GRACE_MILLIS);
-            this.writer = responseWriter.start(
-                    status, headers, contentLength, () -> attempt.exchange.setReading(true));
-        }
-
-        @Override
-        public void onPart(ByteBuf part) {
-            writer.write(part);
-            attempt.exchange.setReading(writer.isWritable());
-        }
-
-        @Override
-        public void onEnd() {
-            close();
-            attempt.target.tracker.recordResponse(status < 500);
-            recordReturned(attempt, status);
-            writer.end();
-        }
-
-        @Override
-        public void onFailure(ExchangeFailure failure) {
-            close();
-            attempt.target.tracker.recordLostResponse();
-            abandon(failure);
-        }
-
-        /** Ends the response because the time of the caller is over. */
-        private void cut(ExchangeFailure failure) {
-            abort();
-            abandon(failure);
-        }
-
-        private void abandon(ExchangeFailure failure) {
-            requestLog.logResponseCut(attempt.summary(), failure, now() - request.receivedAt());
-            components.metrics().countDecision("response-cut", service.value());
-            if (writer.abandon()) {
-                failWithUnknownOutcome(
-                        502, "backend server " + attempt.target.backend().id() + ": " + failure);
-            }
-        }
-
-        /** Stops the server without a response to the caller. */
-        void abort() {
-            close();
-            attempt.target.tracker.recordAbandoned();
-            attempt.exchange.abort();
-        }
-
-        private void close() {
-            streamedResponse = null;
-            cancel(endTimer);
-            attempt.close();
-        }
-    }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerSelector.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerSelector.java
@@ -112,7 +112,8 @@
                 .filter(millis -> millis > 0)
                 .min()
                 .orElse(0);
-        return Math.round(shortest * (1 + PAUSE_SPREAD_SHARE * ThreadLocalRandom.current().nextDouble()));
+        return Math.round(
+                shortest * (1 + PAUSE_SPREAD_SHARE * ThreadLocalRandom.current().nextDouble()));
     }
 
     private Stream<BackendTracker> candidatesForRequest(long now) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeedClient.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeedClient.java
@@ -52,8 +52,7 @@
             long timeoutMillis,
             Consumer<DurableStore.Result> whenDone) {
         String uri = PATH + "?" + AFTER + "=" + afterRevision + "&" + WAIT + "=" + waitMillis;
-        client.call(
-                address, HttpMethod.GET, uri, null, timeoutMillis, response -> whenDone.accept(decode(response)));
+        client.call(address, HttpMethod.GET, uri, null, timeoutMillis, response -> whenDone.accept(decode(response)));
     }
 
     private static DurableStore.Result decode(InternalHttpClient.Response response) {
@@ -65,7 +64,6 @@
                 return DurableStore.Result.of(DurableStore.Status.UNKNOWN);
             }
         }
-        return DurableStore.Result.of(
-                response.received() ? DurableStore.Status.REFUSED : DurableStore.Status.UNKNOWN);
+        return DurableStore.Result.of(response.received() ? DurableStore.Status.REFUSED : DurableStore.Status.UNKNOWN);
     }
 }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
@@ -28,6 +28,8 @@
 @Timeout(30)
 class ConnectionPoolTest {
 
+    private static final int ACCEPT_TIMEOUT_MILLIS = 10_000;
+
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
     @AfterEach
@@ -79,6 +81,7 @@
     void connectionIsNotReusedAfterTheAnnouncedIdleTimeout(String keepAlive) throws Exception {
         AtomicLong now = new AtomicLong();
         try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            server.setSoTimeout(ACCEPT_TIMEOUT_MILLIS);
             ConnectionPool pool = ConnectionPool.builder(group, now::get, "127.0.0.1", server.getLocalPort())
                     .build();
             CompletableFuture<Integer> first = get(pool);
