Serve a view only while it is young enough

An instance that the store did not answer, and that others asked after the source had failed, answered with a view of up to the whole time limit of a change. Change: a view is passed on only up to the age that it has while watches at the store are answered.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ChangeTimeBudget.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ChangeTimeBudget.java
@@ -84,6 +84,14 @@
         return sourceWaitMillis;
     }
 
+    /**
+     * Returns the largest age of the view of an instance whose watches at the store are answered. An older view must
+     * not be passed on, because its changes would be later than a watch at the store.
+     */
+    long maxSourceViewAgeMillis() {
+        return maxWatchDelayMillis + watchWaitMillis + WATCH_RESPONSE_MILLIS;
+    }
+
     /** Returns the delay between two watches if the first one returned changes. */
     long watchDelayMillis(int instances) {
         long delayMillis = Math.max(MIN_DELAY_MILLIS, DELAY_MILLIS_PER_INSTANCE * instances);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -109,8 +109,8 @@
         InternalHttpClient peerClient = storeClient(CONNECTIONS_PER_ADDRESS);
         reader = new FailoverReader(context, peer -> storeFactory.apply(peerClient, peer), peerClient::removeAddress);
         feedReader = new FeedReader(context, reader, new ViewFeedClient(storeClient(CONNECTIONS_PER_ADDRESS)));
-        feed = new ViewFeed(
-                loop, clock, Clocks.wall(), settings.platformLimits().maxChangeMillis(), feedReader::followsStore);
+        ChangeTimeBudget budget = new ChangeTimeBudget(settings.platformLimits().maxChangeMillis());
+        feed = new ViewFeed(loop, clock, Clocks.wall(), budget.maxSourceViewAgeMillis(), feedReader::followsStore);
         relay = new StoreRelay(context, storeClient(StoreRelay.MAX_CALLS_IN_FLIGHT), feed, reader::direct);
         view = new PlatformView(context, feedReader, feed, membershipStatus, this::apply);
         memberListings = new MemberListings(context, view, membershipStatus, this::membersChanged);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeed.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeed.java
@@ -28,11 +28,15 @@
     private static final int MAX_CHANGES = 1_000;
 
     private static final int MAX_BYTES = 512 * 1024;
+    /** Longer than any view is valid; the age of the view is checked beside it. */
+    private static final long MAX_SUSPENSION_CHECK_MILLIS = 60_000;
 
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final BooleanSupplier followsStore;
-    private final LeaseGuard viewValidity;
+    /** Valid from an update until a suspension, which the monotonic clock does not count. */
+    private final LeaseGuard clocks;
+
     private final long maxAgeMillis;
     private final Deque<DurableStore.StoreRecord> changes = new ArrayDeque<>();
     private final List<Watch> watches = new ArrayList<>();
@@ -60,8 +64,7 @@
         this.clock = clock;
         this.maxAgeMillis = maxAgeMillis;
         this.followsStore = followsStore;
-        // The monotonic clock does not count a suspension, so the age alone does not show how old the view is.
-        this.viewValidity = new LeaseGuard(clock, wallClock);
+        this.clocks = new LeaseGuard(clock, wallClock);
     }
 
     /** Starts with a complete view at the revision. Earlier changes are not known. */
@@ -93,7 +96,7 @@
     void update(long newRevision, long newCurrentAt) {
         revision = newRevision;
         currentAt = newCurrentAt;
-        viewValidity.recordRenewal(newCurrentAt, maxAgeMillis);
+        clocks.recordRenewal(clock.millis(), MAX_SUSPENSION_CHECK_MILLIS);
         for (Watch watch : List.copyOf(watches)) {
             if (!isServing() || watch.afterRevision < newRevision) {
                 watch.end();
@@ -103,12 +106,12 @@
 
     /** Refuses all watches until the next update, because the view may miss changes. */
     void suspend() {
-        viewValidity.recordEnd();
+        clocks.recordEnd();
         List.copyOf(watches).forEach(Watch::end);
     }
 
     private boolean isServing() {
-        return viewValidity.isValid() && followsStore.getAsBoolean();
+        return clocks.isValid() && clock.millis() - currentAt <= maxAgeMillis && followsStore.getAsBoolean();
     }
 
     /** Returns the number of watches of other instances that were answered. */
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
@@ -195,7 +195,8 @@
                     new GatewayContext(settings(id, limitMillis), store.loop(), () -> store.now, log, adapter, client);
             reader = new FailoverReader(context, peer -> new RelayPath(this, peer), peer -> {});
             feedReader = new FeedReader(context, reader, this::watchSource);
-            feed = new ViewFeed(store.loop(), () -> store.now, () -> store.now, limitMillis, feedReader::followsStore);
+            long maxAgeMillis = new ChangeTimeBudget(limitMillis).maxSourceViewAgeMillis();
+            feed = new ViewFeed(store.loop(), () -> store.now, () -> store.now, maxAgeMillis, feedReader::followsStore);
             view = new PlatformView(
                     context, feedReader, feed, new MembershipStatus(() -> store.now, () -> store.now), this::apply);
             store.loop().schedule(view::start, random.nextInt(1_000), TimeUnit.MILLISECONDS);
