--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FeedReader.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FeedReader.java
@@ -103,7 +103,10 @@
         return resultsOfSources;
     }
 
-    /** Returns the number of instances that read the store beside this one and at the same rate. */
+    /**
+     * Returns among how many instances the call rate at the store is to be divided: one if this instance comes first in
+     * its failure domain, all if it calls the store because a source failed.
+     */
     int storeReaders(int liveInstances) {
         return sources.isEmpty() ? 1 : liveInstances;
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeedClient.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeedClient.java
@@ -8,7 +8,8 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 
 /**
- * Calls the {@link ViewFeed} of other instances over HTTP. Confined to the event loop.
+ * Both ends of the calls to a {@link ViewFeed} over HTTP: sends them to other instances, and passes those of other
+ * instances to the feed of this one. Confined to the event loop.
  */
 final class ViewFeedClient implements FeedReader.SourceClient {
 
