Move the clock of ConnectionPoolTest on the event loop

Cause: the test moved its clock when the response was delivered, which may be before the pool has read the clock for the start of the idle time.

Change: the clock is moved by a task of the event loop, which runs after the pool took the connection back. The check and its bound are unchanged.

--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
@@ -88,7 +88,8 @@
             try (Socket connection = server.accept()) {
                 respond(connection, keepAlive);
                 assertEquals(200, first.get());
-                now.addAndGet(900);
+                // The pool reads the clock on the event loop, after it has delivered the response.
+                group.submit(() -> now.addAndGet(900)).get();
                 CompletableFuture<Integer> second = get(pool);
                 try (Socket replacement = server.accept()) {
                     respond(replacement, keepAlive);
