Let a restarted server release the keys of its earlier incarnation

Callers: requests for one key could run at two servers.

Cause: a later incarnation of the owner counted as the end of every hold. A grant call names the id of the server only, so a hold may belong to the later incarnation. Evidence: backend-listed with the new start is followed by owner-table-saved 68 ms later without any release, while the record of the case shows accepted renewals.

Change: KeyCoordinator.findHoldEnd alone decides that a hold has ended: by a release, by its term, or by a server with another id at the address. A later incarnation has to confirm the release; if a grant call without a response may still take effect, it is granted the segment with a higher token before. The listing that shows a taken address must be as new as the owner table. The event keys-freed tells the reason.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinator.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinator.java
@@ -18,10 +18,11 @@
  * <p>Invariants:
  *
  * <ul>
- *   <li>A segment gets a new owner only after its previous owner has confirmed the release, after the longest
- *       possible hold has passed, or after a later incarnation of the owner or another server at its address
- *       is known. A grant call without a response may take effect after the release. In this case the release
- *       is not sufficient unless the owner has accepted a higher fencing token since.
+ *   <li>A segment gets a new owner only once the hold of its previous owner has ended ({@link HoldEnd}). A later
+ *       incarnation of the owner does not end the hold: it has the same id, so it may have accepted renewals that
+ *       were meant for the earlier one. It has to confirm the release.
+ *   <li>A grant call without a response may take effect after the release. In this case the release is not
+ *       sufficient unless the owner has accepted a higher fencing token since.
  *   <li>The table with the new owner and its higher token is durable before the grant call is sent.
  *   <li>At most one ownership call for a segment is in progress.
  * </ul>
@@ -95,6 +96,9 @@
         /** Whether the latest grant was accepted. */
         boolean lastGrantAccepted;
 
+        /** Whether a restarted owner gets a grant with a higher token only so that its release is sufficient. */
+        boolean grantBeforeRelease;
+
         /** Whether the owner has accepted its first grant of the segment. */
         boolean ownerConfirmed;
 
@@ -176,7 +180,7 @@
             }
         }
         if (!saving) {
-            assign(servers.capacities(), loads, now);
+            assign(servers, loads, now);
         }
     }
 
@@ -186,9 +190,9 @@
         if (owner != null && servers.pausing().test(owner.id())) {
             // The pause may be longer than the term of the grant. The owner holds nothing after that.
             if (!state.callPending && now >= state.heldUntil) {
-                markFree(state, null);
+                markFree(state, HoldEnd.EXPIRED);
             }
-        } else if (owner != null && capacities.containsKey(owner.id())) {
+        } else if (owner != null && (capacities.containsKey(owner.id()) || state.grantBeforeRelease)) {
             if (!state.callPending && !state.needsHigherToken && now >= state.nextCallAt) {
                 state.callPending = true;
                 state.heldUntil = Math.max(state.heldUntil, now + timing.maxHoldMillis());
@@ -202,9 +206,9 @@
 
     private void continueRelease(SegmentState state, KnownServers servers, long now) {
         Backend owner = lastListed.get(state.segment.owner());
-        boolean releaseEffective = state.releaseConfirmed && now >= state.lateGrantUntil;
-        if (releaseEffective || now >= state.heldUntil || incarnationEnded(state.segment, owner, servers)) {
-            markFree(state, state.releaseConfirmed ? state.handover : null);
+        HoldEnd end = findHoldEnd(state, owner, servers, now);
+        if (end != null) {
+            markFree(state, end);
         } else if (state.releaseConfirmed) {
             return;
         } else if (!state.callPending
@@ -217,19 +221,23 @@
         }
     }
 
-    /**
-     * Returns whether the incarnation of the owner has ended: its id or its address is used by another one. An
-     * address is given to another server, of this service or another, only after its server has ended.
-     */
-    private static boolean incarnationEnded(KeySegment segment, Backend lastListed, KnownServers servers) {
-        Backend current = servers.listed().get(segment.owner());
-        if (current != null && current.startedAtMillis() != segment.ownerStartedAtMillis()) {
-            return true;
+    /** Returns why the hold of a segment that is being released has ended, or null if it may last. */
+    private static HoldEnd findHoldEnd(SegmentState state, Backend lastListed, KnownServers servers, long now) {
+        if (state.releaseConfirmed && now >= state.lateGrantUntil) {
+            return HoldEnd.RELEASED;
         }
-        return lastListed != null && servers.addressTaken().test(lastListed);
+        if (now >= state.heldUntil) {
+            return HoldEnd.EXPIRED;
+        }
+        // The listing may be older than the table, and the owner then has another address.
+        boolean ownerAddressKnown =
+                lastListed != null && lastListed.startedAtMillis() >= state.segment.ownerStartedAtMillis();
+        return ownerAddressKnown && servers.addressTaken().test(lastListed) ? HoldEnd.ADDRESS_TAKEN : null;
     }
 
-    private void markFree(SegmentState state, String handover) {
+    private void markFree(SegmentState state, HoldEnd end) {
+        actions.holdEnded(state.segment, end);
+        String handover = state.releaseConfirmed ? state.handover : null;
         state.phase = Phase.FREE;
         state.handover = handover;
         state.callPending = false;
@@ -237,15 +245,17 @@
         state.failedReleases = 0;
         state.needsHigherToken = false;
         state.fencesLateGrants = false;
+        state.grantBeforeRelease = false;
         state.lateGrantUntil = 0;
         state.heldUntil = 0;
     }
 
-    private void assign(Map<BackendServerId, Double> capacities, KeyLoads loads, long now) {
+    private void assign(KnownServers servers, KeyLoads loads, long now) {
+        Map<BackendServerId, Double> capacities = servers.capacities();
         List<SegmentState> free = states.values().stream()
                 .filter(state -> state.phase == Phase.FREE)
                 .toList();
-        List<SegmentState> toFence = now < nextTokenRaiseAt ? List.of() : segmentsToFence(capacities, now);
+        List<SegmentState> toFence = now < nextTokenRaiseAt ? List.of() : segmentsToFence(servers, now);
         if (free.isEmpty() && toFence.isEmpty() || capacities.isEmpty()) {
             return;
         }
@@ -260,11 +270,18 @@
         FencingToken token = nextToken;
         for (SegmentState state : toFence) {
             nextTokenRaiseAt = now + MIN_TOKEN_RAISE_INTERVAL_MILLIS;
+            if (state.phase == Phase.RELEASING) {
+                state.grantBeforeRelease = true;
+                state.releaseConfirmed = false;
+                state.ownerConfirmed = false;
+                state.nextCallAt = now;
+            }
             state.phase = Phase.SAVING;
             state.needsHigherToken = false;
             state.fencesLateGrants = true;
-            state.segment = new KeySegment(
-                    state.first, state.last, state.segment.owner(), state.segment.ownerStartedAtMillis(), token);
+            BackendServerId owner = state.segment.owner();
+            long ownerStartedAt = servers.listed().get(owner).startedAtMillis();
+            state.segment = new KeySegment(state.first, state.last, owner, ownerStartedAt, token);
         }
         for (SegmentState state : free) {
             boolean targetUsable = state.target != null && capacities.containsKey(state.target);
@@ -282,16 +299,35 @@
     }
 
     /** Returns the segments that need a higher token so that late grants are rejected, once one is due. */
-    private List<SegmentState> segmentsToFence(Map<BackendServerId, Double> capacities, long now) {
+    private List<SegmentState> segmentsToFence(KnownServers servers, long now) {
         List<SegmentState> candidates = states.values().stream()
                 .filter(state -> state.phase == Phase.OWNED && state.needsHigherToken)
-                .filter(state -> capacities.containsKey(state.segment.owner()))
+                .filter(state -> servers.capacities().containsKey(state.segment.owner()))
+                .filter(state ->
+                        servers.findIncarnation(state.segment.owner(), state.segment.ownerStartedAtMillis()) != null)
                 .toList();
-        return candidates.stream().noneMatch(state -> now >= state.nextCallAt)
-                ? List.of()
-                : candidates.stream()
-                        .filter(state -> state.lastGrantAccepted || now >= state.nextCallAt)
-                        .toList();
+        List<SegmentState> due = new ArrayList<>();
+        if (candidates.stream().anyMatch(state -> now >= state.nextCallAt)) {
+            candidates.stream()
+                    .filter(state -> state.lastGrantAccepted || now >= state.nextCallAt)
+                    .forEach(due::add);
+        }
+        states.values().stream()
+                .filter(state -> state.phase == Phase.RELEASING && state.releaseConfirmed)
+                .filter(state -> now < state.lateGrantUntil)
+                .filter(state -> isRestarted(state.segment, servers))
+                .forEach(due::add);
+        return due;
+    }
+
+    /** Returns whether a later incarnation of the owner is listed that can be granted keys. */
+    private static boolean isRestarted(KeySegment segment, KnownServers servers) {
+        Backend owner = servers.listed().get(segment.owner());
+        return owner != null
+                && owner.startedAtMillis() > segment.ownerStartedAtMillis()
+                && !owner.draining()
+                && !servers.pausing().test(owner.id())
+                && !servers.addressTaken().test(owner);
     }
 
     /** Divides all slots into segments without owners. */
@@ -376,6 +412,7 @@
             return;
         }
         state.callPending = false;
+        state.grantBeforeRelease &= result == GrantResult.NOT_SENT;
         switch (result) {
             case ACCEPTED -> {
                 if (!state.ownerConfirmed) {
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinatorActions.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinatorActions.java
@@ -25,6 +25,9 @@
      */
     void announce(KeySegment segment, boolean granted);
 
+    /** Records that a segment has no owner any more, without a completion call. */
+    void holdEnded(KeySegment segment, HoldEnd end);
+
     /** Writes a table to the store. Completes with {@link KeyCoordinator#onTableSaved} once it is durable. */
     void save(KeyTable table);
 }
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KnownServers.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KnownServers.java
@@ -12,8 +12,8 @@
  *
  * @param listed all backend servers of the service that discovery lists
  * @param capacities the servers that may own keys, with their relative speed
- * @param addressTaken returns whether the address of a server belongs to another server by now, so that the
- *     incarnation that had it has certainly ended
+ * @param addressTaken returns whether the address of a server belongs to a server with another id by now, so that
+ *     every incarnation that had it has certainly ended
  * @param pausing returns whether a server asked for a pause in which it receives no calls
  */
 public record KnownServers(
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
@@ -1,6 +1,7 @@
 package org.jackdawslip.internal.keyspace;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -69,6 +70,11 @@
     final Set<BackendServerId> pausing = new HashSet<>();
 
     int callsToPausingServers;
+    /** Why segments lost their owners. */
+    final Set<HoldEnd> holdEnds = EnumSet.noneOf(HoldEnd.class);
+    /** Servers that are listed and may not own keys. */
+    final Set<BackendServerId> unsuitable = new HashSet<>();
+
     int saveCount;
     int releaseCount;
     int handoverCount;
@@ -80,8 +86,34 @@
     }
 
     Backend add(String name, long startedAt, String address) {
+        Backend backend = backend(name, startedAt, address);
+        servers.put(backend.id(), new Server(backend));
+        listed.put(backend.id(), backend);
+        return backend;
+    }
+
+    /** Ends a server and starts it again under its id and address; its listing stays that of the earlier incarnation. */
+    void restartUnlisted(String name, long startedAt) {
+        crash(name);
+        Backend earlier = servers.get(new BackendServerId(name)).backend;
+        servers.put(earlier.id(), new Server(backend(name, startedAt, earlier.address())));
+    }
+
+    /** Lists a server with its present incarnation. */
+    void list(String name) {
+        Backend backend = servers.get(new BackendServerId(name)).backend;
+        listed.put(backend.id(), backend);
+    }
+
+    /** Replaces the listing of a server by an older one; the server itself stays. */
+    void relistAs(String name, long startedAt, String address) {
+        Backend older = backend(name, startedAt, address);
+        listed.put(older.id(), older);
+    }
+
+    private static Backend backend(String name, long startedAt, String address) {
         int colon = address.indexOf(':');
-        Backend backend = new Backend(
+        return new Backend(
                 new BackendServerId(name),
                 startedAt,
                 new ServiceName("sheets"),
@@ -91,9 +123,6 @@
                 3,
                 false,
                 0);
-        servers.put(backend.id(), new Server(backend));
-        listed.put(backend.id(), backend);
-        return backend;
     }
 
     void takeOver() {
@@ -112,6 +141,7 @@
         return otherServices.getOrDefault(backend.address(), 0L) > backend.startedAtMillis()
                 || listed.values().stream()
                         .anyMatch(other -> other.address().equals(backend.address())
+                                && !other.id().equals(backend.id())
                                 && other.startedAtMillis() > backend.startedAtMillis());
     }
 
@@ -133,6 +163,7 @@
             Map<BackendServerId, Double> capacities = new TreeMap<>();
             listed.values().stream()
                     .filter(backend -> !isAddressTaken(backend) && !pausing.contains(backend.id()))
+                    .filter(backend -> !unsuitable.contains(backend.id()))
                     .forEach(backend -> capacities.put(backend.id(), 1.0));
             coordinator.tick(new KnownServers(listed, capacities, this::isAddressTaken, pausing::contains), loads, now);
             List<Runnable> due = List.copyOf(pendingResults);
@@ -212,7 +243,7 @@
             return;
         }
         Server server = servers.get(backend.id());
-        if (!server.running || !server.reachable) {
+        if (!isDelivered(server, backend)) {
             pendingResults.add(() -> coordinator.onGrantResult(segment, GrantResult.UNKNOWN, now));
             return;
         }
@@ -272,13 +303,18 @@
         releaseCount++;
         countCall(backend);
         Server server = servers.get(backend.id());
-        boolean delivered = server.running && server.reachable;
+        boolean delivered = isDelivered(server, backend);
         if (delivered) {
             removeSlots(server, segment);
         }
         pendingResults.add(() -> coordinator.onReleaseResult(segment, delivered, delivered ? "state" : null, now));
     }
 
+    /** A call reaches any incarnation that has the id and the address of the call. */
+    private static boolean isDelivered(Server server, Backend called) {
+        return server.running && server.reachable && server.backend.address().equals(called.address());
+    }
+
     private static void removeSlots(Server server, KeySegment segment) {
         Map<Integer, Hold> kept = new TreeMap<>();
         server.holds.forEach((first, hold) -> addRemaining(kept, hold, segment));
@@ -311,6 +347,11 @@
         }
     }
 
+    @Override
+    public void holdEnded(KeySegment segment, HoldEnd end) {
+        holdEnds.add(end);
+    }
+
     @Override
     public void save(KeyTable table) {
         saveCount++;
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyCoordinatorTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyCoordinatorTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -182,6 +183,76 @@
         assertEquals(KeySegment.SLOTS, owners.heldSlots());
     }
 
+    /**
+     * Guards against second owners of keys whose renewals were accepted by a server that had restarted under its id
+     * and was not listed yet.
+     */
+    @Test
+    void renewalsOfTheEarlierIncarnationAreReleasedByTheLaterOne() {
+        start("s1", "s2");
+        owners.run(8_000);
+        owners.restartUnlisted("s1", 7);
+        owners.run(3_000);
+        assertTrue(owners.heldSlots("s1") > 0, "no renewal was accepted");
+        owners.list("s1");
+        owners.unsuitable.add(new BackendServerId("s1"));
+        owners.run(700);
+        assertEquals(KeySegment.SLOTS, owners.heldSlots("s2"));
+        assertEquals(Set.of(HoldEnd.RELEASED), owners.holdEnds);
+    }
+
+    /** Guards against second owners if the instance that assigned the keys fails between the restart and the listing. */
+    @Test
+    void successorLetsARestartedServerReleaseItsKeys() {
+        start("s1", "s2");
+        owners.run(8_000);
+        owners.restartUnlisted("s1", 7);
+        owners.run(3_000);
+        owners.takeOver();
+        owners.list("s1");
+        owners.unsuitable.add(new BackendServerId("s1"));
+        owners.run(2_000);
+        assertEquals(KeySegment.SLOTS, owners.heldSlots("s2"));
+        owners.run(8_000);
+        assertEquals(Set.of(HoldEnd.RELEASED), owners.holdEnds);
+    }
+
+    /** Guards against second owners if the restarted server cannot be reached: its holds have to run out. */
+    @Test
+    void keysOfAnUnreachableRestartedServerMoveAfterTheirTerm() {
+        start("s1", "s2");
+        owners.run(8_000);
+        owners.restartUnlisted("s1", 7);
+        owners.run(3_000);
+        owners.setReachable("s1", false);
+        owners.list("s1");
+        owners.unsuitable.add(new BackendServerId("s1"));
+        owners.run(3_000);
+        assertTrue(owners.heldSlots("s2") < KeySegment.SLOTS);
+        owners.run(6_000);
+        assertEquals(KeySegment.SLOTS, owners.heldSlots("s2"));
+        assertEquals(Set.of(HoldEnd.EXPIRED), owners.holdEnds);
+    }
+
+    /**
+     * Guards against a second owner if a successor whose listings are older than the table takes the earlier
+     * incarnation of an owner, and the address that it had, for the present one.
+     */
+    @Test
+    void olderListingDoesNotEndTheHoldOfALaterIncarnation() {
+        start("s1", "s2");
+        owners.crash("s1");
+        owners.add("s1", 7, "10.0.0.9:80");
+        owners.run(8_000);
+        int held = owners.heldSlots("s1");
+        assertTrue(held > 0);
+        owners.relistAs("s1", 1, "10.0.0.0:80");
+        owners.add("s9", 5, "10.0.0.0:80");
+        owners.takeOver();
+        owners.run(3_000);
+        assertEquals(held, owners.heldSlots("s1"));
+    }
+
     /**
      * While the result of a write is unknown, no further table is written and no grant of the table is sent.
      */
@@ -283,7 +354,9 @@
         randomOwners.takeOver();
         for (int step = 0; step < 25; step++) {
             String name = "s" + random.nextInt(4);
-            switch (random.nextInt(11)) {
+            switch (random.nextInt(13)) {
+                case 12 -> randomOwners.list(name);
+                case 11 -> randomOwners.restartUnlisted(name, 100 + step);
                 case 10 -> {
                     if (!randomOwners.pausing.remove(new BackendServerId(name))) {
                         randomOwners.pausing.add(new BackendServerId(name));
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -299,11 +299,11 @@
         }
     }
 
-    /** Returns whether another server that started later is listed at the address of the server. */
+    /** Returns whether a server with another id that started later is listed at the address of the server. */
     boolean isAddressTaken(Backend backend) {
         Target latest = latestByAddress.get(backend.address());
         return latest != null
-                && !latest.backend().sameIncarnation(backend)
+                && !latest.backend().id().equals(backend.id())
                 && latest.backend().startedAtMillis() > backend.startedAtMillis();
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -19,6 +19,7 @@
 import org.jackdawslip.internal.balance.Backend;
 import org.jackdawslip.internal.balance.BackendTracker;
 import org.jackdawslip.internal.keyspace.GrantResult;
+import org.jackdawslip.internal.keyspace.HoldEnd;
 import org.jackdawslip.internal.keyspace.KeyCoordinator;
 import org.jackdawslip.internal.keyspace.KeyCoordinatorActions;
 import org.jackdawslip.internal.keyspace.KeyLoads;
@@ -586,6 +587,24 @@
             moveAnnouncer.accept(new KeyMoveAnnouncement(service, segment, granted));
         }
 
+        @Override
+        public void holdEnded(KeySegment segment, HoldEnd end) {
+            log.info(
+                    "keys-freed",
+                    "service",
+                    service,
+                    "backend",
+                    segment.owner(),
+                    "first",
+                    segment.first(),
+                    "last",
+                    segment.last(),
+                    "token",
+                    segment.token(),
+                    "reason",
+                    end);
+        }
+
         @Override
         public void save(KeyTable table) {
             writeTable(table, result -> {
