Keep listings of services that the configuration does not name aside

Cause: every decodable listing counted as a server, so the address of the live server counted as taken, which ends its holds without a release. Evidence: backend-address-reused names the live server, and owner-table-saved follows without keys-released.

Change: BackendDirectory keeps such listings aside until a configuration names their service. They take no address and cannot be found by id.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -34,7 +34,9 @@
  *
  * <p>Invariant: a server that is draining or has stated that it is shutting down, that is no longer listed or in a
  * failure domain that is taken out, or whose address belongs to a later server by now, receives no new request, and
- * a server that asked for a pause receives none until its end. Confined to the event loop.
+ * a server that asked for a pause receives none until its end. A listing of a service that the configuration does not
+ * name may come from another writer: it names no server, so it changes nothing that is known of the others. Confined to
+ * the event loop.
  */
 final class BackendDirectory {
 
@@ -85,6 +87,9 @@
     private final Random random;
     private Consumer<Target> leavingListener = target -> {};
     private final Map<String, Target> byEntry = new HashMap<>();
+    /** Listings of services that the configuration does not name. They are used if a later one names the service. */
+    private final Map<String, Backend> unnamedListings = new LinkedHashMap<>();
+
     private final Map<BackendServerId, Target> byId = new HashMap<>();
     private final Map<BackendTracker, Target> byTracker = new HashMap<>();
     /** The server at each address that started last. Listings of ended servers expire seconds later. */
@@ -143,6 +148,18 @@
         }
         int sentToPreviousIncarnation = current == null ? 0 : current.tracker.recentAttempts(now);
         remove(entry);
+        if (!isNamed(backend.service())) {
+            unnamedListings.put(entry, backend);
+            log.info(
+                    "listing-of-unnamed-service",
+                    "backend",
+                    backend.id(),
+                    "service",
+                    backend.service(),
+                    "address",
+                    backend.address());
+            return;
+        }
         BackendTracker tracker = new BackendTracker(backend, now);
         IdleLimit idleLimit = idleLimits.computeIfAbsent(backend.service(), service -> new IdleLimit());
         ConnectionPool pool = ConnectionPool.builder(loop, clock, backend.host(), backend.port())
@@ -176,6 +193,10 @@
                 sentToPreviousIncarnation);
     }
 
+    private boolean isNamed(ServiceName service) {
+        return routingConfig != null && routingConfig.service(service) != null;
+    }
+
     private void logIdleLimit(Backend backend, long limitMillis) {
         log.warn(
                 "idle-limit-shortened",
@@ -213,6 +234,7 @@
 
     /** Removes a server that is no longer listed. Its open exchanges complete. */
     void remove(String entry) {
+        unnamedListings.remove(entry);
         Target target = byEntry.remove(entry);
         if (target != null) {
             byId.remove(target.backend().id(), target);
@@ -413,10 +435,18 @@
         }
     }
 
-    /** Sets the configuration in force and adapts the connection limits. */
+    /**
+     * Sets the configuration in force, adapts the connection limits, and lists the servers of services that it is the
+     * first to name.
+     */
     void setRoutingConfig(RoutingConfig newConfig) {
         routingConfig = newConfig;
         applyConnectionLimits();
+        for (Map.Entry<String, Backend> listing : List.copyOf(unnamedListings.entrySet())) {
+            if (isNamed(listing.getValue().service())) {
+                addOrUpdate(listing.getKey(), listing.getValue());
+            }
+        }
     }
 
     private void applyConnectionLimits() {
