Do not repeat a request on a connection on which it was sent

Cause: all attempts of a request have the same request id. The owner of a key refuses the first attempt with 421, the request is repeated 60 ms later on the same connection, and a late copy of the 421 counts as the response to the repeated request. Evidence: the record of the case has the copy between the start and the end of each such run.

Change: SentConnections holds the connections of one request, and ConnectionPool uses none of them again for it. A copy arrives on the connection of its original, so it can no longer meet the repeated request.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
@@ -28,7 +29,8 @@
 /**
  * The HTTP connections of this instance to one address.
  *
- * <p>Invariant: a connection is opened only while fewer than the permitted number are open or being opened.
+ * <p>Invariants: a connection is opened only while fewer than the permitted number are open or being opened; a
+ * request is not sent twice on one connection.
  * Confined to the event loop.
  */
 final class ConnectionPool {
@@ -175,19 +177,26 @@
      * Sends a request on an idle connection or a new one, if {@link ExchangeListener#beforeSend} permits it.
      * The pool takes ownership of the reference to the request.
      *
+     * @param sentConnections the connections on which a request with the same id was sent; none of them is used
      * @return the handle by which the exchange can be aborted
      */
-    Exchange send(FullHttpRequest request, ExchangeListener listener) {
-        Exchange exchange = new Exchange(request, listener);
+    Exchange send(FullHttpRequest request, SentConnections sentConnections, ExchangeListener listener) {
+        Exchange exchange = new Exchange(request, sentConnections, listener);
         acquireConnection(exchange);
         return exchange;
     }
 
     private void acquireConnection(Exchange exchange) {
-        HttpConnection connection = pollUsableConnection();
+        HttpConnection connection = pollUsableConnection(exchange.sentConnections);
         if (connection != null) {
             sendOrProbe(connection, exchange, false);
-        } else if (openConnections.size() >= connectionLimit) {
+            return;
+        }
+        if (openConnections.size() >= connectionLimit && !idleConnections.isEmpty()) {
+            // The request was sent on all idle connections before, so one of them makes room for a new one.
+            discard(idleConnections.peekFirst());
+        }
+        if (openConnections.size() >= connectionLimit) {
             exchange.fail(ExchangeFailure.NO_CONNECTION_FREE);
         } else {
             connect(exchange);
@@ -197,7 +206,10 @@
     private void sendOrProbe(HttpConnection connection, Exchange exchange, boolean verified) {
         exchange.connection = connection;
         switch (exchange.listener.beforeSend(verified)) {
-            case SEND -> connection.send(exchange.detachRequest(), exchange.listener, verified, this::release);
+            case SEND -> {
+                exchange.sentConnections.add(connection);
+                connection.send(exchange.detachRequest(), exchange.listener, verified, this::release);
+            }
             case PROBE -> probeState(connection, exchange, verified);
             case WITHDRAW -> {
                 release(connection);
@@ -219,14 +231,21 @@
         connection.send(exchange.listener.stateProbe().request(), probe, verified, probe::continueExchange);
     }
 
-    private HttpConnection pollUsableConnection() {
-        HttpConnection connection = idleConnections.pollLast();
-        while (connection != null && !connection.isUsable(now())) {
-            // A connection that is only being closed would still count against the limit.
-            discard(connection);
-            connection = idleConnections.pollLast();
+    /** Returns the connection that was used last and may carry the request, or null; closes those that expired. */
+    private HttpConnection pollUsableConnection(SentConnections sentConnections) {
+        Iterator<HttpConnection> newestFirst = idleConnections.descendingIterator();
+        while (newestFirst.hasNext()) {
+            HttpConnection connection = newestFirst.next();
+            if (!connection.isUsable(now())) {
+                newestFirst.remove();
+                // A connection that is only being closed would still count against the limit.
+                discard(connection);
+            } else if (!sentConnections.contains(connection)) {
+                newestFirst.remove();
+                return connection;
+            }
         }
-        return connection;
+        return null;
     }
 
     private void connect(Exchange exchange) {
@@ -314,14 +333,16 @@
 
     /** The handle of one exchange. Confined to the event loop. */
     static final class Exchange {
+        private final SentConnections sentConnections;
         private final ExchangeListener listener;
         private FullHttpRequest request;
         private HttpConnection connection;
         private int stateProbes;
         private boolean aborted;
 
-        private Exchange(FullHttpRequest request, ExchangeListener listener) {
+        private Exchange(FullHttpRequest request, SentConnections sentConnections, ExchangeListener listener) {
             this.request = request;
+            this.sentConnections = sentConnections;
             this.listener = listener;
         }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/InternalHttpClient.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/InternalHttpClient.java
@@ -154,7 +154,7 @@
         }
 
         void start(FullHttpRequest request, long timeoutMillis) {
-            exchange = pool(address).send(request, this);
+            exchange = pool(address).send(request, new SentConnections(), this);
             if (!done) {
                 timeout = loop.next().schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
             }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -31,8 +31,8 @@
  *
  * <p>Invariants: the caller receives at most one response, and that response belongs to this request. An
  * at-most-once request is attempted again only if no attempt was written to a connection or the server
- * confirmed that it did not execute the request. An error with the outcome "not run" is returned only if no
- * attempt may have been executed. Confined to the event loop.
+ * confirmed that it did not execute the request. Each attempt uses another connection. An error with the outcome
+ * "not run" is returned only if no attempt may have been executed. Confined to the event loop.
  */
 final class RequestForwarder {
 
@@ -73,6 +73,8 @@
     private final String requestId;
     private final RequestLog requestLog;
     private final List<Attempt> openAttempts = new ArrayList<>();
+    private final SentConnections sentConnections = new SentConnections();
+
     private HostRoute route;
     private ServiceName service;
     private ServerSelector serverSelector;
@@ -216,7 +218,7 @@
         server.recordChosen();
         components.peers().recordInFlightChange(attempt.target);
         attempted = true;
-        attempt.exchange = attempt.target.pool.send(backendRequest, attempt);
+        attempt.exchange = attempt.target.pool.send(backendRequest, sentConnections, attempt);
         if (attempt.open && keySlot < 0 && route.kind().repeatable() && hedgeTimer == null) {
             double delayMillis =
                     Math.max(HEDGE_DELAY_FACTOR * expectedMillis, MIN_HEDGE_DELAY_SHARE * route.targetLatencyMillis());
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ConnectionPoolTest.java
@@ -49,6 +49,7 @@
             group.execute(() -> pool(server.getLocalPort())
                     .send(
                             new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x/1"),
+                            new SentConnections(),
                             new ExchangeListener() {
                                 @Override
                                 public SendDecision beforeSend(boolean verified) {
@@ -99,11 +100,44 @@
         }
     }
 
+    /**
+     * Guards against a late copy of a response that counts as the response to the repeated request. An idle connection
+     * makes room for a new one if there may be no further connection.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2})
+    void requestIsNotRepeatedOnItsConnection(int maxConnections) throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            server.setSoTimeout(ACCEPT_TIMEOUT_MILLIS);
+            ConnectionPool pool = ConnectionPool.builder(
+                            group, System::currentTimeMillis, "127.0.0.1", server.getLocalPort())
+                    .connections(() -> maxConnections, maxConnections)
+                    .build();
+            SentConnections sentConnections = new SentConnections();
+            CompletableFuture<Integer> first = get(pool, sentConnections);
+            try (Socket connection = server.accept()) {
+                respond(connection, "timeout=9");
+                assertEquals(200, first.get());
+                CompletableFuture<Integer> repeated = get(pool, sentConnections);
+                try (Socket other = server.accept()) {
+                    respond(other, "timeout=9");
+                    assertEquals(200, repeated.get());
+                }
+            }
+        }
+    }
+
     /** Sends a request; the result is the status of the response. */
     private CompletableFuture<Integer> get(ConnectionPool pool) {
+        return get(pool, new SentConnections());
+    }
+
+    private CompletableFuture<Integer> get(ConnectionPool pool, SentConnections sentConnections) {
         CompletableFuture<Integer> status = new CompletableFuture<>();
         group.execute(() -> pool.send(
-                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x/1"), new ExchangeListener() {
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x/1"),
+                sentConnections,
+                new ExchangeListener() {
                     @Override
                     public boolean onResponse(FullHttpResponse response) {
                         status.complete(response.status().code());
