Identify grant and release calls by a request id

Cause: any response on the connection of a grant or release call counted as its response, so a late copy of a grant's response confirmed a release. The calls carried no id.

Change: each call carries a request id. Responses with another id are ignored. A response without an id counts on a new connection only, which is closed after it; on a used one the result is unknown.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -369,6 +369,16 @@
             return connection.recordRefusal(hasRequestId);
         }
 
+        /** Returns whether the connection carried an earlier exchange, of whose response a copy may arrive. */
+        boolean usesEarlierConnection() {
+            return connection.usedBefore();
+        }
+
+        /** Closes the connection after this exchange. */
+        void preventReuse() {
+            connection.preventReuse();
+        }
+
         /** Stops or resumes reading the response. */
         void setReading(boolean reading) {
             if (connection != null) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -98,6 +98,11 @@
         return certain;
     }
 
+    /** Lets the connection carry no further request. */
+    void preventReuse() {
+        reusable = false;
+    }
+
     void setChannel(Channel newChannel) {
         channel = newChannel;
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/InternalHttpClient.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/InternalHttpClient.java
@@ -90,21 +90,31 @@
             String body,
             long timeoutMillis,
             Consumer<Response> onResult) {
-        call(address, method, uri, body, EmptyHttpHeaders.INSTANCE, timeoutMillis, onResult);
+        FullHttpRequest request = request(address, method, uri, body);
+        new Call(address, CallId.NONE, onResult).start(request, timeoutMillis);
     }
 
-    /** Makes one call with additional headers; see the other overload for the parameters. */
-    void call(
+    /**
+     * Makes one call to a server that may send further copies of its responses. A response with another id is ignored.
+     * One without an id is accepted on a new connection only, where it cannot be a copy.
+     *
+     * @param headers additional headers of the call
+     * @param idHeader the one of these headers that the server repeats in its response
+     * @param timeoutMillis time limit of the call in milliseconds, including the time to open a connection
+     * @param onResult receives the response, or one with status 0 if the call fails or times out
+     */
+    void callWithId(
             String address,
             HttpMethod method,
             String uri,
             String body,
             HttpHeaders headers,
+            String idHeader,
             long timeoutMillis,
             Consumer<Response> onResult) {
         FullHttpRequest request = request(address, method, uri, body);
         request.headers().add(headers);
-        new Call(address, onResult).start(request, timeoutMillis);
+        new Call(address, new CallId(idHeader, headers.get(idHeader)), onResult).start(request, timeoutMillis);
     }
 
     private static FullHttpRequest request(String address, HttpMethod method, String uri, String body) {
@@ -141,15 +151,38 @@
         }
     }
 
+    /**
+     * The header with the id of one call, which the server repeats in its response. Immutable and thread-safe.
+     *
+     * @param header the name of the header, or null if the server sends no copies of responses
+     * @param id the id of the call
+     */
+    private record CallId(String header, String id) {
+        static final CallId NONE = new CallId(null, null);
+
+        /** Returns whether the response is one to another call. */
+        boolean isForeign(FullHttpResponse response) {
+            String responseId = header == null ? null : response.headers().get(header);
+            return responseId != null && !responseId.equals(id);
+        }
+
+        /** Returns whether the response may be a copy of one to another call. */
+        boolean isMissingIn(FullHttpResponse response) {
+            return header != null && !response.headers().contains(header);
+        }
+    }
+
     private final class Call implements ExchangeListener {
         private final String address;
+        private final CallId id;
         private final Consumer<Response> onResult;
         private ConnectionPool.Exchange exchange;
         private ScheduledFuture<?> timeout;
         private boolean done;
 
-        Call(String address, Consumer<Response> onResult) {
+        Call(String address, CallId id, Consumer<Response> onResult) {
             this.address = address;
+            this.id = id;
             this.onResult = onResult;
         }
 
@@ -172,6 +205,16 @@
 
         @Override
         public boolean onResponse(FullHttpResponse response) {
+            if (id.isForeign(response)) {
+                return false;
+            }
+            if (id.isMissingIn(response)) {
+                exchange.preventReuse();
+                if (exchange.usesEarlierConnection()) {
+                    finish(failed(ExchangeFailure.MALFORMED_ANSWER));
+                    return true;
+                }
+            }
             byte[] content = ByteBufUtil.getBytes(response.content());
             finish(new Response(response.status().code(), response.headers().copy(), content));
             return true;
@@ -179,7 +222,11 @@
 
         @Override
         public void onFailure(ExchangeFailure failure) {
-            finish(new Response(0, EmptyHttpHeaders.INSTANCE, failure.name().getBytes(StandardCharsets.UTF_8)));
+            finish(failed(failure));
+        }
+
+        private static Response failed(ExchangeFailure failure) {
+            return new Response(0, EmptyHttpHeaders.INSTANCE, failure.name().getBytes(StandardCharsets.UTF_8));
         }
 
         private void finish(Response result) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -140,8 +140,8 @@
         this.directory = directory;
         this.view = view;
         this.leaseGuard = leaseGuard;
-        this.ownershipCalls = new OwnershipCallQueues(
-                ownershipClient, adapter.headers().expectedServer(), () -> roleHeld && leaseGuard.isValid());
+        this.ownershipCalls =
+                new OwnershipCallQueues(ownershipClient, adapter.headers(), () -> roleHeld && leaseGuard.isValid());
         this.random = random;
         this.moveAnnouncer = moveAnnouncer;
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/OwnershipCallQueues.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/OwnershipCallQueues.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.UUID;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -24,20 +25,20 @@
     static final int MAX_CALLS_IN_FLIGHT_PER_SERVER = 4;
 
     private final InternalHttpClient client;
-    private final String expectedServerHeader;
+    private final HeaderNames names;
     private final BooleanSupplier sendingPermitted;
     private final Map<String, ServerQueue> queues = new HashMap<>();
 
     /**
      * Creates the queues.
      *
-     * @param expectedServerHeader name of the header with the id of the server that may execute the call
+     * @param names the names of the headers of a call
      * @param sendingPermitted evaluated immediately before each call is sent; the call is dropped if it
      *     returns false
      */
-    OwnershipCallQueues(InternalHttpClient client, String expectedServerHeader, BooleanSupplier sendingPermitted) {
+    OwnershipCallQueues(InternalHttpClient client, HeaderNames names, BooleanSupplier sendingPermitted) {
         this.client = client;
-        this.expectedServerHeader = expectedServerHeader;
+        this.names = names;
         this.sendingPermitted = sendingPermitted;
     }
 
@@ -84,14 +85,16 @@
                 continue;
             }
             queue.inFlight++;
-            client.call(
+            client.callWithId(
                     address,
                     HttpMethod.POST,
                     queued.call().uri(),
                     queued.call().body(),
                     // The address may now belong to another server, which must not accept the keys.
                     new DefaultHttpHeaders()
-                            .set(expectedServerHeader, queued.server().id().value()),
+                            .set(names.expectedServer(), queued.server().id().value())
+                            .set(names.requestId(), UUID.randomUUID().toString()),
+                    names.requestId(),
                     queued.timeoutMillis(),
                     response -> {
                         queue.inFlight--;
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/InternalHttpClientTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/InternalHttpClientTest.java
@@ -14,6 +14,7 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -33,6 +34,8 @@
     private final AtomicInteger accepted = new AtomicInteger();
     private final CountDownLatch firstRequests = new CountDownLatch(IDLE_CONNECTIONS);
     private ServerSocket server;
+    /** Responses to a call with an id; "ID" stands for the id of the call. */
+    private volatile String responseToCallWithId = "";
     /** Number of the last connection on which the server sends no further response. */
     private volatile int lastSilentConnection;
 
@@ -75,8 +78,13 @@
         try (socket) {
             BufferedReader reader =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            String id = null;
             for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-                if (line.isEmpty() && number > lastSilentConnection) {
+                id = line.startsWith("call-id: ") ? line.substring("call-id: ".length()) : id;
+                if (line.isEmpty() && id != null) {
+                    socket.getOutputStream()
+                            .write(responseToCallWithId.replace("ID", id).getBytes(StandardCharsets.ISO_8859_1));
+                } else if (line.isEmpty() && number > lastSilentConnection) {
                     firstRequests.countDown();
                     firstRequests.await();
                     socket.getOutputStream()
@@ -112,4 +120,47 @@
         assertEquals(0, call().get().status());
         assertEquals(200, call().get().status());
     }
+
+    private int callWithId(String id) throws Exception {
+        CompletableFuture<InternalHttpClient.Response> response = new CompletableFuture<>();
+        group.execute(() -> client.callWithId(
+                "127.0.0.1:" + server.getLocalPort(),
+                HttpMethod.GET,
+                "/",
+                null,
+                new DefaultHttpHeaders().set("call-id", id),
+                "call-id",
+                TIMEOUT_MILLIS,
+                response::complete));
+        return response.get().status();
+    }
+
+    private static String response(int status, String id) {
+        return "HTTP/1.1 " + status + " X\r\n" + (id == null ? "" : "call-id: " + id + "\r\n")
+                + "Content-Length: 0\r\n\r\n";
+    }
+
+    /** Guards against a late copy of a response that counts as the response to a later call on the connection. */
+    @Test
+    void copyOfAnEarlierResponseIsNotTheResponseToALaterCall() throws Exception {
+        responseToCallWithId = response(200, "ID");
+        assertEquals(200, callWithId("first"));
+        responseToCallWithId = response(200, "first") + response(409, "ID");
+        assertEquals(409, callWithId("second"));
+        assertEquals(1, accepted.get());
+    }
+
+    /** Guards against a copy without an id, and against failing calls to a server that repeats no ids. */
+    @Test
+    void responseWithoutIdCountsOnNewConnectionsOnly() throws Exception {
+        responseToCallWithId = response(200, null);
+        assertEquals(200, callWithId("first"));
+        assertEquals(200, callWithId("second"));
+        assertEquals(2, accepted.get());
+        responseToCallWithId = response(200, "ID");
+        assertEquals(200, callWithId("third"));
+        responseToCallWithId = response(200, null);
+        assertEquals(0, callWithId("fourth"));
+        assertEquals(3, accepted.get());
+    }
 }
