Answer rejected requests in the order of the requests

Cause: HttpObjectAggregator writes 413 and 417 to the channel itself, outside the order that CallerConnection keeps.

Change: CallerRequestAggregator passes the rejected request on, and CallerConnection answers it in its place.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
@@ -71,10 +71,11 @@
         }
         lastReadAt = components.clock().millis();
         if (message.decoderResult().isFailure()) {
-            PendingRequest rejected = new PendingRequest(false, message);
+            Throwable cause = message.decoderResult().cause();
+            boolean bodySkipped = cause instanceof CallerRequestAggregator.RejectedRequestException;
+            PendingRequest rejected = new PendingRequest(bodySkipped && HttpUtil.isKeepAlive(message), message);
             pendingRequests.addLast(rejected);
-            int status = decodeErrorStatus(message.decoderResult().cause());
-            rejected.write(status, new DefaultHttpHeaders(), new byte[0]);
+            rejected.write(decodeErrorStatus(cause), new DefaultHttpHeaders(), new byte[0]);
             return;
         }
         CallerRequest request = new CallerRequest(
@@ -93,6 +94,9 @@
     }
 
     private static int decodeErrorStatus(Throwable cause) {
+        if (cause instanceof CallerRequestAggregator.RejectedRequestException rejection) {
+            return rejection.status();
+        }
         if (cause instanceof TooLongHttpHeaderException) {
             return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE.code();
         }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerServer.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerServer.java
@@ -15,7 +15,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import org.jackdawslip.ErrorCode;
@@ -93,7 +92,7 @@
         channel.pipeline()
                 .addLast(
                         new HttpServerCodec(decoder),
-                        new HttpObjectAggregator((int) Math.min(MAX_BODY_BYTES, limits.maxBodyBytes())),
+                        new CallerRequestAggregator((int) Math.min(MAX_BODY_BYTES, limits.maxBodyBytes())),
                         new IdleStateHandler(limits.idleTimeoutMillis(), 0, 0, TimeUnit.MILLISECONDS),
                         new CallerConnection(components, this));
     }
