Do not pass a refusal on that does not state that the request did not run

Cause: statuses that callers read as "not run" were replaced from 500 on only, so 408 and 429 were passed on.

Change: BackendResponse.isServerFailure covers them, for whole responses and for those passed on in parts.

Result: refusalWithoutNotRunHeaderIsNotForwarded fails for 429 and 408 without the change and passes with it. It contains the case of serverErrorWithoutNotRunHeaderIsNotForwarded, which it replaces.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendResponse.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendResponse.java
@@ -38,6 +38,14 @@
         return NOT_RUN_STATUSES.contains(response.status().code());
     }
 
+    /**
+     * Returns whether the server failed to process the request. A status that a caller reads as "not run" is a failure
+     * too, because the server has not stated that it did not run the request.
+     */
+    static boolean isServerFailure(HttpResponse response) {
+        return response.status().code() >= 500 || looksNotRun(response);
+    }
+
     private static boolean isMisdirected(HttpResponse response) {
         return response.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -586,7 +586,7 @@
             long contentLength = HttpUtil.getContentLength(head, ResponseWriter.UNKNOWN_LENGTH);
             if (finished
                     || BackendResponse.reportsNotRun(components.adapter().headers(), head)
-                    || head.status().code() >= 500
+                    || BackendResponse.isServerFailure(head)
                     || BackendResponse.lacksSignature(components.adapter().headers(), head)
                     || !responseWriter.canWriteParts(contentLength)) {
                 return null;
@@ -662,7 +662,7 @@
                 }
                 return true;
             }
-            boolean success = status < 500;
+            boolean success = !BackendResponse.isServerFailure(response);
             target.tracker.recordResponse(success);
             if (BackendResponse.lacksSignature(components.adapter().headers(), response)) {
                 if (!finished) {
