Let callers receive the last response before their connection is closed

Cause: a connection was closed with unread bytes, which resets it and discards what is still to be sent.

Change: after the last response the connection ends its output and reads on until the caller closes it, for at most 5 s. A planned stop waits for that within its time limit.

Result: plannedStopDeliversLargeResponseBeforeUnreadRequest fails without the change ("Connection reset") and passes with it.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
@@ -3,13 +3,14 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -31,25 +32,31 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
 
 /**
  * The connection of one caller. Pipelined requests are processed concurrently, and their responses are
  * written in the order of the requests.
  *
- * <p>Invariant: this instance closes the connection only after every request that was read has a response,
- * except after an I/O error. Requests that follow a request with "Connection: close" receive no response.
- * Confined to the event loop.
+ * <p>Invariant: this instance closes the connection only after every request that was read has a response and the
+ * caller had time to receive it, except after an I/O error. Requests that follow a request with "Connection: close"
+ * receive no response. Confined to the event loop.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
 
     /** Requests without a response on one connection at which the connection stops reading. */
     private static final int MAX_PIPELINED = 32;
+    /** Time for the caller to receive the last response and to close the connection. */
+    private static final long LINGER_MILLIS = 5_000;
 
     private final RequestComponents components;
     private final CallerServer server;
     private final Deque<PendingRequest> pendingRequests = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private boolean closing;
+    /** Closes the connection if the caller does not; set once the last response was written. */
+    private ScheduledFuture<?> lingerTimer;
+
     private long lastReadAt;
 
     CallerConnection(RequestComponents components, CallerServer server) {
@@ -124,7 +131,7 @@
             }
             pendingRequests.pollFirst();
             if (closing) {
-                context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                closeAfterLastResponse();
                 return;
             }
         }
@@ -136,6 +143,17 @@
         }
     }
 
+    /**
+     * Ends the output and waits until the caller closes the connection. A close with unread bytes would reset the
+     * connection, and the caller would lose what it has not received yet.
+     */
+    private void closeAfterLastResponse() {
+        lingerTimer = context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        context.channel().config().setAutoRead(true);
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                .addListener(written -> ((DuplexChannel) context.channel()).shutdownOutput());
+    }
+
     /** Makes this response the last one on the connection. */
     private void announceClose(PendingRequest last) {
         last.head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -162,6 +180,9 @@
 
     /** Stops reading and closes the connection after the response to the last request that was read. */
     void closeGracefully() {
+        if (lingerTimer != null) {
+            return;
+        }
         if (pendingRequests.isEmpty()) {
             closing = true;
             context.close();
@@ -179,9 +200,9 @@
         }
     }
 
-    /** Returns whether a request on this connection has no response yet. */
-    boolean hasPendingRequests() {
-        return !pendingRequests.isEmpty();
+    /** Returns whether a request has no response yet, or the caller may still receive the last one. */
+    boolean isBusy() {
+        return !pendingRequests.isEmpty() || lingerTimer != null;
     }
 
     @Override
@@ -198,6 +219,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
+        if (lingerTimer != null) {
+            lingerTimer.cancel(false);
+        }
         server.onConnectionClosed(this);
         abandonPendingRequests();
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerServer.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerServer.java
@@ -132,8 +132,8 @@
         return readingStopped;
     }
 
-    /** Returns the number of connections with a request that has no response yet. */
+    /** Returns the number of connections with a response that is due or that the caller may still receive. */
     long countBusyConnections() {
-        return connections.stream().filter(CallerConnection::hasPendingRequests).count();
+        return connections.stream().filter(CallerConnection::isBusy).count();
     }
 }
