Keep pipelined requests from a large response that may break off

Cause: a response passed on in parts cannot be replaced by an error, so the connection closes when it breaks off, while requests behind it were processed.

Change: with requests behind it, a response of known length up to 256 KiB is held until it is complete. Requests that arrive while a response is passed on in parts wait for its end.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -56,7 +56,7 @@
 
     private static final long MAX_PAUSE_SPREAD_MILLIS = 1_000;
     /** Limit of a response that is buffered whole, because it is not passed on as it arrives. */
-    private static final int MAX_RESPONSE_BYTES = 256 * 1024;
+    static final int MAX_RESPONSE_BYTES = 256 * 1024;
     /** The responses that are buffered at a time may use this part of the heap. */
     private static final long RESPONSE_MEMORY_DIVISOR = 4;
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
@@ -36,7 +36,8 @@
 
 /**
  * The connection of one caller. Pipelined requests are processed concurrently, and their responses are
- * written in the order of the requests.
+ * written in the order of the requests. Requests behind a response that is being written in parts wait for its end,
+ * because the connection closes if that response breaks off.
  *
  * <p>Invariant: this instance closes the connection only after every request that was read has a response and the
  * caller had time to receive it, except after an I/O error. Requests that follow a request with "Connection: close"
@@ -97,7 +98,9 @@
             context.channel().config().setAutoRead(false);
         }
         pending.forwarder = new RequestForwarder(components, request, pending);
-        pending.forwarder.start();
+        if (pendingRequests.stream().noneMatch(PendingRequest::isOpen)) {
+            pending.start();
+        }
     }
 
     private static int decodeErrorStatus(Throwable cause) {
@@ -134,6 +137,7 @@
                 closeAfterLastResponse();
                 return;
             }
+            startWaitingRequests();
         }
         if (written) {
             context.flush();
@@ -154,6 +158,15 @@
                 .addListener(written -> ((DuplexChannel) context.channel()).shutdownOutput());
     }
 
+    private void startWaitingRequests() {
+        if (pendingRequests.stream().anyMatch(PendingRequest::isOpen)) {
+            return;
+        }
+        for (PendingRequest pending : List.copyOf(pendingRequests)) {
+            pending.start();
+        }
+    }
+
     /** Makes this response the last one on the connection. */
     private void announceClose(PendingRequest last) {
         last.head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -240,6 +253,7 @@
         private HttpResponse head;
         private RequestForwarder forwarder;
         private Runnable onWritable = () -> {};
+        private boolean forwarding;
         private boolean started;
         private boolean ended;
         private boolean disconnected;
@@ -250,6 +264,19 @@
             this.acceptsChunks = request.protocolVersion().isKeepAliveDefault();
         }
 
+        /** Starts to process the request, unless that was done or a response is known already. */
+        private void start() {
+            if (!forwarding && forwarder != null && head == null && !disconnected) {
+                forwarding = true;
+                forwarder.start();
+            }
+        }
+
+        /** Returns whether the response is being written in parts. */
+        private boolean isOpen() {
+            return head != null && !ended;
+        }
+
         private boolean hasOutput() {
             return !output.isEmpty();
         }
@@ -296,7 +323,11 @@
 
         @Override
         public boolean canWriteParts(long contentLength) {
-            return contentLength != UNKNOWN_LENGTH || acceptsChunks;
+            if (contentLength == UNKNOWN_LENGTH) {
+                return acceptsChunks;
+            }
+            // Requests behind this one may run, and would lose their responses if this one broke off.
+            return this == pendingRequests.peekLast() || contentLength > BackendDirectory.MAX_RESPONSE_BYTES;
         }
 
         @Override
