Make ownership calls that may end a hold on new connections

Cause: servers that do not repeat the ids of ownership calls got a new connection for each call.

Change: releases and grants that fence late ones are made on new connections (OwnershipCallKind). Renewals and first grants use connections again; their responses shorten no hold. A response with the id of another call is still ignored.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinator.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinator.java
@@ -196,7 +196,7 @@
             if (!state.callPending && !state.needsHigherToken && now >= state.nextCallAt) {
                 state.callPending = true;
                 state.heldUntil = Math.max(state.heldUntil, now + timing.maxHoldMillis());
-                actions.grant(owner, state.segment, state.handover);
+                actions.grant(owner, state.segment, state.handover, state.fencesLateGrants);
             }
         } else if (!capacities.isEmpty()) {
             state.phase = Phase.RELEASING;
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinatorActions.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinatorActions.java
@@ -12,8 +12,9 @@
      * Sends a call that grants or renews a segment. Completes with {@link KeyCoordinator#onGrantResult}.
      *
      * @param handover the state that the previous owner returned with its release, or null
+     * @param fencing whether the acceptance shows that the server rejects earlier grant calls without a response
      */
-    void grant(Backend server, KeySegment segment, String handover);
+    void grant(Backend server, KeySegment segment, String handover, boolean fencing);
 
     /** Sends a release call to the owner. Completes with {@link KeyCoordinator#onReleaseResult}. */
     void release(Backend server, KeySegment segment);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -186,14 +186,28 @@
         return exchange;
     }
 
+    /**
+     * Sends a request on a new connection, on which no copy of an earlier response can arrive. Takes ownership like
+     * {@link #send}.
+     */
+    Exchange sendOnNewConnection(FullHttpRequest request, ExchangeListener listener) {
+        Exchange exchange = new Exchange(request, new SentConnections(), listener);
+        acquireNewConnection(exchange);
+        return exchange;
+    }
+
     private void acquireConnection(Exchange exchange) {
         HttpConnection connection = pollUsableConnection(exchange.sentConnections);
         if (connection != null) {
             sendOrProbe(connection, exchange, false);
-            return;
+        } else {
+            acquireNewConnection(exchange);
         }
+    }
+
+    private void acquireNewConnection(Exchange exchange) {
         if (openConnections.size() >= connectionLimit && !idleConnections.isEmpty()) {
-            // The request was sent on all idle connections before, so one of them makes room for a new one.
+            // No idle connection may carry the request, so the oldest one makes room.
             discard(idleConnections.peekFirst());
         }
         if (openConnections.size() >= connectionLimit) {
@@ -369,16 +383,6 @@
             return connection.recordRefusal(hasRequestId);
         }
 
-        /** Returns whether the connection carried an earlier exchange, of whose response a copy may arrive. */
-        boolean usesEarlierConnection() {
-            return connection.usedBefore();
-        }
-
-        /** Closes the connection after this exchange. */
-        void preventReuse() {
-            connection.preventReuse();
-        }
-
         /** Stops or resumes reading the response. */
         void setReading(boolean reading) {
             if (connection != null) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -98,11 +98,6 @@
         return certain;
     }
 
-    /** Lets the connection carry no further request. */
-    void preventReuse() {
-        reusable = false;
-    }
-
     void setChannel(Channel newChannel) {
         channel = newChannel;
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/InternalHttpClient.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/InternalHttpClient.java
@@ -90,31 +90,25 @@
             String body,
             long timeoutMillis,
             Consumer<Response> onResult) {
-        FullHttpRequest request = request(address, method, uri, body);
-        new Call(address, CallId.NONE, onResult).start(request, timeoutMillis);
+        call(address, method, uri, body, CallOptions.NONE, timeoutMillis, onResult);
     }
 
     /**
-     * Makes one call to a server that may send further copies of its responses. A response with another id is ignored.
-     * One without an id is accepted on a new connection only, where it cannot be a copy.
+     * Makes one call to a server that may send further copies of its responses.
      *
-     * @param headers additional headers of the call
-     * @param idHeader the one of these headers that the server repeats in its response
-     * @param timeoutMillis time limit of the call in milliseconds, including the time to open a connection
      * @param onResult receives the response, or one with status 0 if the call fails or times out
      */
-    void callWithId(
+    void call(
             String address,
             HttpMethod method,
             String uri,
             String body,
-            HttpHeaders headers,
-            String idHeader,
+            CallOptions options,
             long timeoutMillis,
             Consumer<Response> onResult) {
         FullHttpRequest request = request(address, method, uri, body);
-        request.headers().add(headers);
-        new Call(address, new CallId(idHeader, headers.get(idHeader)), onResult).start(request, timeoutMillis);
+        request.headers().add(options.headers);
+        new Call(address, options, onResult).start(request, timeoutMillis);
     }
 
     private static FullHttpRequest request(String address, HttpMethod method, String uri, String body) {
@@ -152,42 +146,44 @@
     }
 
     /**
-     * The header with the id of one call, which the server repeats in its response. Immutable and thread-safe.
+     * How a call is made and its response is recognized. Immutable and thread-safe if the headers are not changed.
      *
-     * @param header the name of the header, or null if the server sends no copies of responses
-     * @param id the id of the call
+     * @param headers additional headers of the call
+     * @param idHeader the header whose value the server may repeat in its response, or null; a response with another
+     *     value is one to another call
+     * @param onNewConnection whether the call is made on a new connection, where no response to another call can
+     *     arrive, even if the server does not repeat the id
      */
-    private record CallId(String header, String id) {
-        static final CallId NONE = new CallId(null, null);
+    record CallOptions(HttpHeaders headers, String idHeader, boolean onNewConnection) {
 
-        /** Returns whether the response is one to another call. */
-        boolean isForeign(FullHttpResponse response) {
-            String responseId = header == null ? null : response.headers().get(header);
-            return responseId != null && !responseId.equals(id);
-        }
+        static final CallOptions NONE = new CallOptions(EmptyHttpHeaders.INSTANCE, null, false);
 
-        /** Returns whether the response may be a copy of one to another call. */
-        boolean isMissingIn(FullHttpResponse response) {
-            return header != null && !response.headers().contains(header);
+        /** Returns whether the response is one to another call. */
+        private boolean isForeign(FullHttpResponse response) {
+            String responseId = idHeader == null ? null : response.headers().get(idHeader);
+            return responseId != null && !responseId.equals(headers.get(idHeader));
         }
     }
 
     private final class Call implements ExchangeListener {
         private final String address;
-        private final CallId id;
+        private final CallOptions options;
         private final Consumer<Response> onResult;
         private ConnectionPool.Exchange exchange;
         private ScheduledFuture<?> timeout;
         private boolean done;
 
-        Call(String address, CallId id, Consumer<Response> onResult) {
+        Call(String address, CallOptions options, Consumer<Response> onResult) {
             this.address = address;
-            this.id = id;
+            this.options = options;
             this.onResult = onResult;
         }
 
         void start(FullHttpRequest request, long timeoutMillis) {
-            exchange = pool(address).send(request, new SentConnections(), this);
+            ConnectionPool pool = pool(address);
+            exchange = options.onNewConnection
+                    ? pool.sendOnNewConnection(request, this)
+                    : pool.send(request, new SentConnections(), this);
             if (!done) {
                 timeout = loop.next().schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
             }
@@ -205,16 +201,9 @@
 
         @Override
         public boolean onResponse(FullHttpResponse response) {
-            if (id.isForeign(response)) {
+            if (options.isForeign(response)) {
                 return false;
             }
-            if (id.isMissingIn(response)) {
-                exchange.preventReuse();
-                if (exchange.usesEarlierConnection()) {
-                    finish(failed(ExchangeFailure.MALFORMED_ANSWER));
-                    return true;
-                }
-            }
             byte[] content = ByteBufUtil.getBytes(response.content());
             finish(new Response(response.status().code(), response.headers().copy(), content));
             return true;
@@ -222,11 +211,7 @@
 
         @Override
         public void onFailure(ExchangeFailure failure) {
-            finish(failed(failure));
-        }
-
-        private static Response failed(ExchangeFailure failure) {
-            return new Response(0, EmptyHttpHeaders.INSTANCE, failure.name().getBytes(StandardCharsets.UTF_8));
+            finish(new Response(0, EmptyHttpHeaders.INSTANCE, failure.name().getBytes(StandardCharsets.UTF_8)));
         }
 
         private void finish(Response result) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -82,10 +82,6 @@
     /** Delay before an ownership call or a renewal of the role without a response is repeated. */
     private static final long RETRY_DELAY_MILLIS = 300;
 
-    private static final long GRANT_TIMEOUT_MILLIS = 600;
-    /** A backend server responds to a release call only when its work on the released keys has ended. */
-    private static final long RELEASE_TIMEOUT_MILLIS = 3_000;
-
     private static final int STATUS_OK = 200;
     private static final int STATUS_CONFLICT = 409;
 
@@ -503,14 +499,15 @@
         }
 
         @Override
-        public void grant(Backend server, KeySegment segment, String handover) {
+        public void grant(Backend server, KeySegment segment, String handover, boolean fencing) {
             PlatformAdapter.OwnershipCall call =
                     adapter.encodeGrantCall(segment, keyTiming().holdMillis(), handover);
             BooleanSupplier stillDue = () -> isCurrent()
                     && !directory.pauseRequested(server.id())
                     && coordinator.confirmGrantSend(segment, clock.millis());
             Runnable whenDropped = () -> completeGrant(segment, GrantResult.NOT_SENT);
-            ownershipCalls.enqueue(server, call, GRANT_TIMEOUT_MILLIS, stillDue, whenDropped, response -> {
+            OwnershipCallKind kind = fencing ? OwnershipCallKind.FENCING_GRANT : OwnershipCallKind.GRANT;
+            ownershipCalls.enqueue(server, kind, call, stillDue, whenDropped, response -> {
                 recordResponseHead(server, response);
                 GrantResult result =
                         switch (response.status()) {
@@ -543,8 +540,8 @@
             Runnable whenDropped = () -> completeRelease(segment, false, null);
             ownershipCalls.enqueue(
                     server,
+                    OwnershipCallKind.RELEASE,
                     adapter.encodeReleaseCall(segment),
-                    RELEASE_TIMEOUT_MILLIS,
                     () -> isCurrent() && !directory.pauseRequested(server.id()),
                     whenDropped,
                     response -> {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/OwnershipCallQueues.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/OwnershipCallQueues.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.jackdawslip.internal.balance.Backend;
 
@@ -44,8 +45,8 @@
 
     private record QueuedCall(
             Backend server,
+            OwnershipCallKind kind,
             PlatformAdapter.OwnershipCall call,
-            long timeoutMillis,
             BooleanSupplier stillNeeded,
             Runnable onDropped,
             Consumer<InternalHttpClient.Response> onResponse) {}
@@ -59,7 +60,6 @@
      * Sends a call as soon as fewer than {@link #MAX_CALLS_IN_FLIGHT_PER_SERVER} calls are in flight at the
      * server.
      *
-     * @param timeoutMillis time limit of the call after it is sent
      * @param stillNeeded evaluated immediately before the call is sent; the call is dropped if it returns
      *     false
      * @param onDropped runs instead of {@code onResponse} if the call is dropped
@@ -67,13 +67,13 @@
      */
     void enqueue(
             Backend server,
+            OwnershipCallKind kind,
             PlatformAdapter.OwnershipCall call,
-            long timeoutMillis,
             BooleanSupplier stillNeeded,
             Runnable onDropped,
             Consumer<InternalHttpClient.Response> onResponse) {
         ServerQueue queue = queues.computeIfAbsent(server.address(), address -> new ServerQueue());
-        queue.waiting.addLast(new QueuedCall(server, call, timeoutMillis, stillNeeded, onDropped, onResponse));
+        queue.waiting.addLast(new QueuedCall(server, kind, call, stillNeeded, onDropped, onResponse));
         sendQueued(server.address(), queue);
     }
 
@@ -85,17 +85,18 @@
                 continue;
             }
             queue.inFlight++;
-            client.callWithId(
+            // The address may now belong to another server, which must not accept the keys.
+            HttpHeaders headers = new DefaultHttpHeaders()
+                    .set(names.expectedServer(), queued.server().id().value())
+                    .set(names.requestId(), UUID.randomUUID().toString());
+            client.call(
                     address,
                     HttpMethod.POST,
                     queued.call().uri(),
                     queued.call().body(),
-                    // The address may now belong to another server, which must not accept the keys.
-                    new DefaultHttpHeaders()
-                            .set(names.expectedServer(), queued.server().id().value())
-                            .set(names.requestId(), UUID.randomUUID().toString()),
-                    names.requestId(),
-                    queued.timeoutMillis(),
+                    new InternalHttpClient.CallOptions(
+                            headers, names.requestId(), queued.kind().onNewConnection()),
+                    queued.kind().timeoutMillis(),
                     response -> {
                         queue.inFlight--;
                         queued.onResponse().accept(response);
