Read the resources of the host and the terms for accounts from the settings

Cause: the gateway did not know the memory, descriptors and bandwidth of its host or the terms for client accounts, so no limit could be derived from them.

Change: GatewaySettings has a builder and carries InstanceLimits and AccountTerms, with defaults where the settings do not state them.

--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FaultToleranceTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FaultToleranceTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 
 import io.netty.handler.codec.http.HttpHeaders;
-import org.jackdawslip.FailureDomainId;
 import org.jackdawslip.InstanceId;
 import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.keyspace.KeySegment;
@@ -66,15 +65,7 @@
     private final SimulatedStore store = new SimulatedStore();
 
     private GatewayContext context(PlatformAdapter adapter) {
-        GatewaySettings settings = new GatewaySettings(
-                new InstanceId("front"),
-                new FailureDomainId("a"),
-                "",
-                "",
-                "",
-                "",
-                "",
-                new GatewaySettings.PlatformLimits(1_000, 6_000, 0.2, 60, 10_000, 10_000, 2_000));
+        GatewaySettings settings = SimulatedViews.settings(new InstanceId("front"), 2_000);
         EventLog events = new EventLog(lines, "front", () -> store.now);
         return new GatewayContext(settings, store.loop(), () -> store.now, events, adapter, store.new Client());
     }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
@@ -347,15 +347,12 @@
     }
 
     static GatewaySettings settings(InstanceId id, long limitMillis) {
-        return new GatewaySettings(
-                id,
-                new FailureDomainId("a"),
-                "",
-                "",
-                "",
-                "",
-                "",
-                new GatewaySettings.PlatformLimits(1_000, 6_000, 0.2, 60, 10_000, 10_000, limitMillis));
+        return GatewaySettings.builder(id, new FailureDomainId("a"))
+                .callerAddresses("", "")
+                .internalAddresses("", "")
+                .storeAddress("")
+                .platformLimits(new GatewaySettings.PlatformLimits(1_000, 6_000, 0.2, 60, 10_000, 10_000, limitMillis))
+                .build();
     }
 
     /** Translates keys and values of the simulated store. */
