Await a response of the store that is being received after its timeout

Cause: a configuration of 1,900 routes is about half a megabyte, 0.7 s on a link of 7 Mbit/s. The timeout of a watch (300 ms beyond its wait) and of a page (400 ms) discarded it while it arrived, and the same transfer began again.

Change: a call whose response makes progress goes on after its timeout, checked every 150 ms, for at most 1.5 s.

The effect on a deployment is not measured yet.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ConnectionPool.java
@@ -383,6 +383,11 @@
             return connection.recordRefusal(hasRequestId);
         }
 
+        /** Returns how many bytes of the body of the response were received so far. */
+        long receivedBodyBytes() {
+            return connection == null ? 0 : connection.receivedBodyBytes();
+        }
+
         /** Stops or resumes reading the response. */
         void setReading(boolean reading) {
             if (connection != null) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HttpConnection.java
@@ -140,6 +140,11 @@
         detachBody().release();
     }
 
+    /** Returns the size of the buffered part of the response that is being received, in bytes. */
+    int receivedBodyBytes() {
+        return body.readableBytes();
+    }
+
     /** Returns whether the connection may carry another request. */
     boolean isUsable(long now) {
         return reusable
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/InternalHttpClient.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/InternalHttpClient.java
@@ -28,6 +28,13 @@
  */
 public final class InternalHttpClient {
 
+    /** Interval at which a response that is being received after the timeout has to make progress. */
+    private static final long PROGRESS_INTERVAL_MILLIS = 150;
+    /**
+     * Longest time after the timeout for a response that is being received. A value of one megabyte takes 1.5 s on a
+     * link of 7 Mbit/s; a timeout would discard it and start the same transfer again.
+     */
+    private static final long MAX_TRANSFER_MILLIS = 1_500;
     /** The responses that are received at a time may use this part of the heap. */
     private static final long RESPONSE_MEMORY_DIVISOR = 8;
 
@@ -80,7 +87,8 @@
      * @param address host and port, separated by a colon
      * @param uri the path and query
      * @param body the JSON body, or null
-     * @param timeoutMillis time limit of the call, including the time to open a connection
+     * @param timeoutMillis time limit of the call, including the time to open a connection; a response that is being
+     *     received then is awaited while it makes progress, for at most {@value #MAX_TRANSFER_MILLIS} ms
      * @param onResult receives the response, or one with status 0 if the call fails or times out
      */
     public void call(
@@ -172,6 +180,8 @@
         private ConnectionPool.Exchange exchange;
         private ScheduledFuture<?> timeout;
         private boolean done;
+        private long receivedBytes;
+        private long extendedMillis;
 
         Call(String address, CallOptions options, Consumer<Response> onResult) {
             this.address = address;
@@ -190,6 +200,13 @@
         }
 
         private void onTimeout() {
+            long received = exchange.receivedBodyBytes();
+            if (received > receivedBytes && extendedMillis < MAX_TRANSFER_MILLIS) {
+                receivedBytes = received;
+                extendedMillis += PROGRESS_INTERVAL_MILLIS;
+                timeout = loop.next().schedule(this::onTimeout, PROGRESS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                return;
+            }
             exchange.abort();
             // All connections to an address may stop responding together; the next call must use a new one.
             ConnectionPool pool = pools.get(address);
