Compress large records between instances

Cause: the instance that follows the store sends each change to all others of its failure domain. With 20 others, a configuration of half a megabyte is 10 MB; and a record above 512 KB was dropped from the feed, so that all others called the store.

The effect on a deployment is not measured yet.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StoreRelay.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StoreRelay.java
@@ -52,6 +52,7 @@
     private final InternalHttpClient storeClient;
     private final ViewFeed feed;
     private final BooleanSupplier storeServesInstance;
+    private final ValueCompressor compressor = new ValueCompressor();
     private int callsInFlight;
     private long relayedCalls;
 
@@ -137,7 +138,7 @@
                             channel,
                             keepAlive,
                             done ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                            done ? ViewChangesCodec.encode(result) : new byte[0]);
+                            done ? ViewChangesCodec.encode(result, compressor) : new byte[0]);
                 });
             } catch (IllegalArgumentException e) {
                 respond(channel, keepAlive, HttpResponseStatus.BAD_REQUEST, e.getMessage());
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewChangesCodec.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewChangesCodec.java
@@ -21,23 +21,27 @@
     private static final int CHANGE_VALUE = 2;
 
     private static final int CHANGE_REVISION = 3;
+    /** Takes the place of the value if the value is large. */
+    private static final int CHANGE_COMPRESSED_VALUE = 4;
 
     private ViewChangesCodec() {}
 
-    static byte[] encode(DurableStore.Result result) {
+    static byte[] encode(DurableStore.Result result, ValueCompressor compressor) {
         return PeerMessages.encode(output -> {
             output.writeInt64(REVISION, result.revision());
             output.writeInt64(AGE, result.ageMillis());
             for (DurableStore.StoreRecord change : result.records()) {
-                output.writeByteArray(CHANGE, encode(change));
+                output.writeByteArray(CHANGE, encode(change, compressor));
             }
         });
     }
 
-    private static byte[] encode(DurableStore.StoreRecord change) {
+    private static byte[] encode(DurableStore.StoreRecord change, ValueCompressor compressor) {
         return PeerMessages.encode(output -> {
             output.writeString(CHANGE_KEY, change.key());
-            if (change.value() != null) {
+            if (change.value() != null && change.value().length >= ValueCompressor.MIN_BYTES) {
+                output.writeByteArray(CHANGE_COMPRESSED_VALUE, compressor.compress(change.value()));
+            } else if (change.value() != null) {
                 output.writeByteArray(CHANGE_VALUE, change.value());
             }
             output.writeInt64(CHANGE_REVISION, change.revision());
@@ -74,6 +78,7 @@
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case CHANGE_KEY -> key = input.readString();
                 case CHANGE_VALUE -> value = input.readByteArray();
+                case CHANGE_COMPRESSED_VALUE -> value = ValueCompressor.decompress(input.readByteArray());
                 case CHANGE_REVISION -> revision = input.readInt64();
                 default -> input.skipField(tag);
             }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeed.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeed.java
@@ -27,7 +27,8 @@
     /** Limits of the changes that are kept. An instance that is further behind reads the store itself. */
     private static final int MAX_CHANGES = 1_000;
 
-    private static final int MAX_BYTES = 512 * 1024;
+    /** Room for two versions of a record of the largest size, one megabyte. */
+    private static final int MAX_BYTES = 2 * 1024 * 1024;
     /** Longer than any view is valid; the age of the view is checked beside it. */
     private static final long MAX_SUSPENSION_CHECK_MILLIS = 60_000;
 
