Follow the instance with the largest bandwidth

Cause: the source of changes in a failure domain was chosen by a hash, so with instances of 7 and 140 Mbit/s it was a slow one in nine of ten cases, and each large change went through its link once for each other instance.

Change: the listing of an instance states its bandwidth, and the order of sources begins with the largest. Instances with the same bandwidth are ordered as before.

The effect on a deployment is not measured yet.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FeedReader.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FeedReader.java
@@ -17,11 +17,12 @@
  * store itself. The calls to the store then grow with the number of failure domains and not with the number of
  * instances.
  *
- * <p>All instances order the live instances of their failure domain in the same way, and each uses the first that has
- * not failed lately; the first one of all uses the store. A source that does not answer, or refuses because it does
- * not follow the store itself, is not asked for {@link #SOURCE_PAUSE_MILLIS}, and the call goes to the store. So a call
- * ends at most one timeout of a watch later than without sources, and a failed source costs one call to the store for
- * each instance. Reads of all records always go to the store.
+ * <p>All instances order the live instances of their failure domain in the same way, those with the largest bandwidth
+ * first, because a source sends each change to all others: a configuration of half a megabyte takes seconds on a link
+ * of 10 Mbit/s. Each uses the first that has not failed lately; the first one of all uses the store. A source that does
+ * not answer, or refuses because it does not follow the store itself, is not asked for {@link #SOURCE_PAUSE_MILLIS},
+ * and the call goes to the store. So a call ends at most one timeout of a watch later than without sources, and a
+ * failed source costs one call to the store for each instance. Reads of all records always go to the store.
  *
  * <p>Invariant: a result through a source has the age of the view of the source, so that its content is never taken as
  * newer than it is. Confined to the event loop.
@@ -45,7 +46,7 @@
 
     private final FailoverReader store;
     private final SourceClient sourceClient;
-    private final InstanceId self;
+    private final Source self;
     private final MonotonicClock clock;
     private final EventLog log;
     private final ChangeTimeBudget budget;
@@ -61,12 +62,20 @@
     private long resultsOfSources;
 
     /** An instance of the own failure domain. Immutable and thread-safe. */
-    private record Source(InstanceId id, String address) {}
+    private record Source(InstanceId id, String address, double linkMegabitsPerSecond) {
+
+        static final Comparator<Source> ORDER = Comparator.comparingDouble(Source::linkMegabitsPerSecond)
+                .reversed()
+                .thenComparing(Source::id, InstanceOrder.COMPARATOR);
+    }
 
     FeedReader(GatewayContext context, FailoverReader store, SourceClient sourceClient) {
         this.store = store;
         this.sourceClient = sourceClient;
-        this.self = context.settings().instance();
+        this.self = new Source(
+                context.settings().instance(),
+                context.settings().peerAddress(),
+                context.settings().instanceLimits().linkMegabitsPerSecond());
         this.clock = context.clock();
         this.log = context.log();
         this.budget = new ChangeTimeBudget(context.settings().platformLimits().maxChangeMillis());
@@ -77,13 +86,14 @@
         store.setLivePeers(instances);
         List<Source> preceding = new ArrayList<>();
         instances.forEach((id, peer) -> {
-            if (peer.sameDomain() && InstanceOrder.COMPARATOR.compare(id, self) < 0) {
-                String address =
-                        peer.address().getHostString() + ":" + peer.address().getPort();
-                preceding.add(new Source(id, address));
+            String address =
+                    peer.address().getHostString() + ":" + peer.address().getPort();
+            Source source = new Source(id, address, peer.linkMegabitsPerSecond());
+            if (peer.sameDomain() && !id.equals(self.id) && Source.ORDER.compare(source, self) < 0) {
+                preceding.add(source);
             }
         });
-        preceding.sort(Comparator.comparing(Source::id, InstanceOrder.COMPARATOR));
+        preceding.sort(Source.ORDER);
         sources = preceding;
         pausedUntil.keySet().retainAll(instances.keySet());
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
@@ -24,8 +24,8 @@
 final class MemberListings {
 
     private static final String LISTING_PREFIX = "members/";
-    /** Separates the address from the failure domain in a record. */
-    private static final char SEPARATOR = ' ';
+    /** Separates the address, the failure domain and the bandwidth in megabits per second in a record. */
+    private static final String SEPARATOR = " ";
     /** Term of a listing. A failed instance keeps its share of global limits for at most this time. */
     private static final long LISTING_TERM_MILLIS = 8_000;
 
@@ -89,7 +89,12 @@
             }
             listingLease = leaseResult.lease();
             termMillis = leaseResult.leaseMillis();
-            byte[] value = (settings.peerAddress() + SEPARATOR + settings.domain()).getBytes(StandardCharsets.UTF_8);
+            byte[] value = String.join(
+                            SEPARATOR,
+                            settings.peerAddress(),
+                            settings.domain().value(),
+                            Double.toString(settings.instanceLimits().linkMegabitsPerSecond()))
+                    .getBytes(StandardCharsets.UTF_8);
             String key = adapter.routerRecordKey(LISTING_PREFIX + settings.instance());
             DurableStore.Transaction transaction = new DurableStore.Transaction(
                     List.of(), List.of(new DurableStore.StoreRecord(key, value, 0)), listingLease);
@@ -188,13 +193,14 @@
     }
 
     private PeerExchange.Peer parsePeer(String text) {
-        int separator = text.indexOf(SEPARATOR);
-        if (separator < 0) {
+        String[] fields = text.split(SEPARATOR);
+        if (fields.length < 2) {
             throw new IllegalArgumentException("\"" + text + "\": expected an address, a space and a failure domain");
         }
-        boolean sameDomain =
-                text.substring(separator + 1).equals(settings.domain().value());
-        String address = text.substring(0, separator);
+        String address = fields[0];
+        boolean sameDomain = fields[1].equals(settings.domain().value());
+        // Listings of earlier versions have no bandwidth.
+        double linkMegabitsPerSecond = fields.length > 2 ? Double.parseDouble(fields[2]) : 0;
         int colon = address.lastIndexOf(':');
         // Host names are rejected, because resolving them would block the event loop.
         if (colon < 0
@@ -202,7 +208,7 @@
                 || !Addresses.isIpAddress(address.substring(0, colon))) {
             throw new IllegalArgumentException("\"" + address + "\": expected an IP address and a port");
         }
-        return new PeerExchange.Peer(parseAddress(address), sameDomain);
+        return new PeerExchange.Peer(parseAddress(address), sameDomain, linkMegabitsPerSecond);
     }
 
     /**
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -102,8 +102,9 @@
      *
      * @param address where the peer accepts datagrams and, over TCP, calls of {@link FailoverReader}
      * @param sameDomain whether the peer is in the own failure domain
+     * @param linkMegabitsPerSecond bandwidth of the network link of the peer, in megabits per second; 0 if unknown
      */
-    record Peer(InetSocketAddress address, boolean sameDomain) {}
+    record Peer(InetSocketAddress address, boolean sameDomain, double linkMegabitsPerSecond) {}
 
     /** Changes that were not sent yet to the peers in the own failure domain, or to those in others. */
     private final class Outbox {
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FailoverReaderTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FailoverReaderTest.java
@@ -102,7 +102,7 @@
         for (int i = 0; i < 4; i++) {
             live.put(
                     new InstanceId("front-" + i),
-                    new PeerExchange.Peer(InetSocketAddress.createUnresolved("front-" + i, 1), i % 2 == 0));
+                    new PeerExchange.Peer(InetSocketAddress.createUnresolved("front-" + i, 1), i % 2 == 0, 100));
         }
         reader.setLivePeers(live);
     }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
@@ -95,8 +95,8 @@
         }
         for (Instance instance : instances) {
             Map<InstanceId, PeerExchange.Peer> live = new HashMap<>();
-            instances.forEach(
-                    each -> live.put(each.id, new PeerExchange.Peer(each.address, each.domain == instance.domain)));
+            instances.forEach(each ->
+                    live.put(each.id, new PeerExchange.Peer(each.address, each.domain == instance.domain, 100)));
             instance.feedReader.setLivePeers(live);
         }
     }
