Let the instance with the largest bandwidth coordinate the keys

The coordinator ran on an instance with 0.3 core and 7 Mbit/s. Ruled out: a delayed event loop; the log has no loop-late line.

Change: the order in which instances take roles begins with the largest bandwidth, for the coordinator as for the source of changes. Instances of the same bandwidth are ordered as before.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FeedReader.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FeedReader.java
@@ -1,7 +1,5 @@
 package org.jackdawslip.internal.gateway;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,7 +44,7 @@
 
     private final FailoverReader store;
     private final SourceClient sourceClient;
-    private final Source self;
+    private final InstanceOrder.Candidate self;
     private final MonotonicClock clock;
     private final EventLog log;
     private final ChangeTimeBudget budget;
@@ -62,20 +60,12 @@
     private long resultsOfSources;
 
     /** An instance of the own failure domain. Immutable and thread-safe. */
-    private record Source(InstanceId id, String address, double linkMegabitsPerSecond) {
-
-        static final Comparator<Source> ORDER = Comparator.comparingDouble(Source::linkMegabitsPerSecond)
-                .reversed()
-                .thenComparing(Source::id, InstanceOrder.COMPARATOR);
-    }
+    private record Source(InstanceId id, String address) {}
 
     FeedReader(GatewayContext context, FailoverReader store, SourceClient sourceClient) {
         this.store = store;
         this.sourceClient = sourceClient;
-        this.self = new Source(
-                context.settings().instance(),
-                context.settings().peerAddress(),
-                context.settings().instanceLimits().linkMegabitsPerSecond());
+        this.self = context.settings().candidate();
         this.clock = context.clock();
         this.log = context.log();
         this.budget = new ChangeTimeBudget(context.settings().platformLimits().maxChangeMillis());
@@ -84,17 +74,14 @@
     /** Sets the live instances. */
     void setLivePeers(Map<InstanceId, PeerExchange.Peer> instances) {
         store.setLivePeers(instances);
-        List<Source> preceding = new ArrayList<>();
-        instances.forEach((id, peer) -> {
-            String address =
-                    peer.address().getHostString() + ":" + peer.address().getPort();
-            Source source = new Source(id, address, peer.linkMegabitsPerSecond());
-            if (peer.sameDomain() && !id.equals(self.id) && Source.ORDER.compare(source, self) < 0) {
-                preceding.add(source);
-            }
-        });
-        preceding.sort(Source.ORDER);
-        sources = preceding;
+        sources = instances.entrySet().stream()
+                .filter(entry -> entry.getValue().sameDomain())
+                .map(entry -> entry.getValue().candidate(entry.getKey()))
+                .filter(candidate -> InstanceOrder.COMPARATOR.compare(candidate, self) < 0)
+                .sorted(InstanceOrder.COMPARATOR)
+                .map(candidate ->
+                        new Source(candidate.id(), instances.get(candidate.id()).hostAndPort()))
+                .toList();
         pausedUntil.keySet().retainAll(instances.keySet());
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -263,6 +263,7 @@
     private void membersChanged(Map<InstanceId, PeerExchange.Peer> live) {
         peers.setLivePeers(live);
         feedReader.setLivePeers(live);
+        keyCoordinatorRole.setLivePeers(live);
         routing.setLiveInstances(List.copyOf(live.keySet()));
         Set<InstanceId> instances = routing.instances();
         directory.setLiveInstanceCount(instances.size());
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewaySettings.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 
 import org.jackdawslip.FailureDomainId;
 import org.jackdawslip.InstanceId;
+import org.jackdawslip.internal.membership.InstanceOrder;
 
 /**
  * The settings of one gateway instance. Immutable and thread-safe.
@@ -90,6 +91,11 @@
         public static final AccountTerms DEFAULT = new AccountTerms(true, 5_000, 5_000, 0.1, 20);
     }
 
+    /** Returns this instance as a candidate for roles. */
+    InstanceOrder.Candidate candidate() {
+        return new InstanceOrder.Candidate(instance, instanceLimits.linkMegabitsPerSecond());
+    }
+
     /** Returns a builder of the settings of the instance. */
     public static Builder builder(InstanceId instance, FailureDomainId domain) {
         return new Builder(instance, domain);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -105,6 +105,9 @@
     /** Services whose table may still be replaced by a write of this instance that had no response. */
     private final Set<ServiceName> servicesWithUncertainTable = new HashSet<>();
 
+    /** The live instances, which may all claim the role. */
+    private List<InstanceOrder.Candidate> candidates = List.of();
+
     private InstanceId roleHolder;
     private long roleLease;
     private long roleRevision;
@@ -147,6 +150,13 @@
         context.every(TICK_INTERVAL_MILLIS, "key-control", this::tick);
     }
 
+    /** Sets the live instances. */
+    void setLivePeers(Map<InstanceId, PeerExchange.Peer> live) {
+        candidates = live.entrySet().stream()
+                .map(entry -> entry.getValue().candidate(entry.getKey()))
+                .toList();
+    }
+
     /** Returns the instance that holds the role of key coordinator, or null if none is known. */
     InstanceId roleHolder() {
         return roleHolder;
@@ -242,10 +252,12 @@
 
     /**
      * Returns the delay before an attempt to claim the role. Most instances learn of the new holder before their turn
-     * and make no attempt.
+     * and make no attempt. The instance with the largest bandwidth is the first, because a coordinator whose link is
+     * occupied by a large change gets no answers to its ownership calls, and the keys lose their owners.
      */
     private long claimDelayMillis() {
-        int rank = Math.min(MAX_CLAIM_RANK, InstanceOrder.rank(self, routing.instances()));
+        int rank =
+                Math.min(MAX_CLAIM_RANK, InstanceOrder.rank(context.settings().candidate(), candidates));
         return rank * CLAIM_RANK_DELAY_MILLIS + random.nextInt(MAX_CLAIM_DELAY_MILLIS);
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -30,6 +30,7 @@
 import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.keyspace.KeyMoveAnnouncement;
 import org.jackdawslip.internal.logging.EventLog;
+import org.jackdawslip.internal.membership.InstanceOrder;
 import org.jackdawslip.internal.time.MonotonicClock;
 
 /**
@@ -104,7 +105,16 @@
      * @param sameDomain whether the peer is in the own failure domain
      * @param linkMegabitsPerSecond bandwidth of the network link of the peer, in megabits per second; 0 if unknown
      */
-    record Peer(InetSocketAddress address, boolean sameDomain, double linkMegabitsPerSecond) {}
+    record Peer(InetSocketAddress address, boolean sameDomain, double linkMegabitsPerSecond) {
+
+        String hostAndPort() {
+            return address.getHostString() + ":" + address.getPort();
+        }
+
+        InstanceOrder.Candidate candidate(InstanceId id) {
+            return new InstanceOrder.Candidate(id, linkMegabitsPerSecond);
+        }
+    }
 
     /** Changes that were not sent yet to the peers in the own failure domain, or to those in others. */
     private final class Outbox {
