--- a/jackdawslip-core/src/main/java/org/jackdawslip/ErrorCode.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/ErrorCode.java
@@ -15,6 +15,14 @@
     INVALID_REQUEST_ID(400, Outcome.NOT_RUN),
     /** A request lacks a header or has one that is not valid. */
     INVALID_REQUEST(400, Outcome.NOT_RUN),
+    /** The request carries no key, or one that no client account has. */
+    UNAUTHORIZED(401, Outcome.NOT_RUN),
+    /** The client account has used its quota. */
+    QUOTA_EXCEEDED(429, Outcome.NOT_RUN),
+    /** The instance cannot tell whether the request is within the quota of its client account. */
+    QUOTA_UNKNOWN(503, Outcome.NOT_RUN),
+    /** The configuration of the instance may be too old to accept a key. */
+    CONFIGURATION_OUTDATED(503, Outcome.NOT_RUN),
     /** The bundle has no service with the requested name. */
     UNKNOWN_SERVICE(404, Outcome.NOT_RUN),
     /** The request body exceeds the size limit. */
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/traffic/HostRoute.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/traffic/HostRoute.java
@@ -17,6 +17,7 @@
  * @param maxAttempts the largest number of attempts of one request
  * @param priority the priority among all routes; 0 is the most urgent
  * @param services the services among which the requests are distributed, at least one
+ * @param publicAccess whether requests need no key even if the configuration has client accounts
  */
 public record HostRoute(
         String name,
@@ -27,7 +28,22 @@
         long targetLatencyMillis,
         int maxAttempts,
         int priority,
-        List<WeightedService> services) {
+        List<WeightedService> services,
+        boolean publicAccess) {
+
+    /** Creates a route whose requests need a key if the configuration has client accounts. */
+    public HostRoute(
+            String name,
+            String host,
+            String prefix,
+            RequestKind kind,
+            long timeoutMillis,
+            long targetLatencyMillis,
+            int maxAttempts,
+            int priority,
+            List<WeightedService> services) {
+        this(name, host, prefix, kind, timeoutMillis, targetLatencyMillis, maxAttempts, priority, services, false);
+    }
 
     /**
      * Checks the route.
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/traffic/RoutingConfig.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/traffic/RoutingConfig.java
@@ -9,9 +9,10 @@
 import java.util.Optional;
 
 import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.account.AccountDirectory;
 
 /**
- * One version of the configuration of routes, services and caller limits. Immutable and thread-safe.
+ * One version of the configuration of routes, services, caller limits and client accounts. Immutable and thread-safe.
  *
  * <p>Invariant: the routes of a host are ordered from the longest prefix to the shortest, so that the first
  * matching route is the most specific one.
@@ -22,10 +23,22 @@
     private final Map<String, List<HostRoute>> routesByHost = new HashMap<>();
     private final Map<ServiceName, ServiceConfig> services = new HashMap<>();
     private final CallerLimits limits;
+    private final AccountDirectory accounts;
 
-    /** Creates a configuration. */
+    /** Creates a configuration without client accounts. */
     public RoutingConfig(
             long version, List<HostRoute> routes, List<ServiceConfig> serviceConfigs, CallerLimits limits) {
+        this(version, routes, serviceConfigs, limits, AccountDirectory.NONE);
+    }
+
+    /** Creates a configuration. */
+    public RoutingConfig(
+            long version,
+            List<HostRoute> routes,
+            List<ServiceConfig> serviceConfigs,
+            CallerLimits limits,
+            AccountDirectory accounts) {
+        this.accounts = accounts;
         this.version = version;
         this.limits = limits;
         for (HostRoute route : routes) {
@@ -49,6 +62,11 @@
         return limits;
     }
 
+    /** Returns the client accounts; a directory without accounts if requests need no key. */
+    public AccountDirectory accounts() {
+        return accounts;
+    }
+
     /** Returns all services by name. */
     public Map<ServiceName, ServiceConfig> services() {
         return Map.copyOf(services);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HeaderNames.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HeaderNames.java
@@ -14,6 +14,8 @@
  * @param warmupRemainingMillis remaining warm-up time of the backend server, in responses to health checks
  * @param key key slot of a request to a keyed service
  * @param leaving present with the value {@link #LEAVING} if the backend server is shutting down
+ * @param account name of the client account of a request, for the backend server
+ * @param credentialScheme scheme of the Authorization header with the key of a client account
  * @param handover state that a backend server returns with a release, for the next owner of the keys
  */
 public record HeaderNames(
@@ -27,6 +29,8 @@
         String warmupRemainingMillis,
         String key,
         String leaving,
+        String account,
+        String credentialScheme,
         String handover) {
 
     /** Value of the header by which a backend server states that it is shutting down. */
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformAdapter.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformAdapter.java
@@ -16,6 +16,9 @@
     /** Returns whether a GET of this URI only reads the store, in its state when the call arrives. */
     boolean isStoreRead(String uri);
 
+    /** Returns whether the record with this store key is the configuration. */
+    boolean isConfiguration(String key);
+
     /** Decodes a record of the store, or the removal of a record. */
     PlatformEvent decode(DurableStore.StoreRecord storeRecord);
 
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FaultToleranceTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FaultToleranceTest.java
@@ -121,6 +121,11 @@
     /** An adapter that decodes every record as one to ignore. */
     private static final class IgnoringAdapter implements PlatformAdapter {
 
+        @Override
+        public boolean isConfiguration(String key) {
+            return false;
+        }
+
         @Override
         public PlatformEvent decode(DurableStore.StoreRecord storeRecord) {
             return new PlatformEvent.Ignored(storeRecord.key());
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
@@ -358,6 +358,11 @@
     /** Translates keys and values of the simulated store. */
     private static final class Adapter implements PlatformAdapter {
 
+        @Override
+        public boolean isConfiguration(String key) {
+            return false;
+        }
+
         @Override
         public HeaderNames headers() {
             throw new UnsupportedOperationException("the simulation sends no requests");
