Authenticate requests by client accounts, and refuse keys with an outdated configuration

Cause: requests were not authenticated; a revoked key would have been accepted for as long as an instance did not reach the store. Change: RequestAccount authenticates a request after its route is known, asks the QuotaGate (NONE until the quota is built) before a server is selected, and decides again before each attempt and each send. The account replaces the credential in the headers, on public routes too. An instance whose configuration may be older than revocation_ms refuses with 503 (CONFIGURATION_OUTDATED). A configuration that cannot be decoded, is removed, or is older than the one in force and has other accounts makes the one in force grow old. A response of the store with a revision below a known one no longer counts as a current view. Deployments without accounts pass both headers on.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.jackdawslip.InstanceId;
 import org.jackdawslip.JackdawslipException;
 import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.account.ConfigurationFreshness;
 import org.jackdawslip.internal.balance.Balancer;
 import org.jackdawslip.internal.concurrent.Clocks;
 import org.jackdawslip.internal.keyspace.KeyMoveAnnouncement;
@@ -24,6 +25,7 @@
 import org.jackdawslip.internal.membership.MembershipStatus;
 import org.jackdawslip.internal.time.LeaseGuard;
 import org.jackdawslip.internal.time.MonotonicClock;
+import org.jackdawslip.internal.time.SuspensionDetector;
 
 /**
  * One gateway instance: its listeners, its view of the platform and its key coordinator role, all on one
@@ -77,6 +79,8 @@
     private final CallerServer callerServer;
     private final PlatformAdapter adapter;
     private final PlannedStop plannedStop = new PlannedStop();
+    private final ConfigurationFreshness freshness;
+    private final AccountGate accounts;
     private boolean established;
     private boolean stopping;
     private long stopStartedAt;
@@ -132,8 +136,20 @@
         });
         directory.setLeavingListener(peers::announceLeaving);
         Balancer balancer = new Balancer(settings.domain(), random);
+        GatewaySettings.AccountTerms terms = settings.accountTerms();
+        freshness = new ConfigurationFreshness(
+                clock, new SuspensionDetector(clock, Clocks.wall()), terms.maxRevocationMillis());
+        accounts = new AccountGate(
+                routing,
+                freshness,
+                terms.refuseWithoutRecentConfiguration(),
+                QuotaGate.NONE,
+                adapter.headers(),
+                metrics.accounts(),
+                log);
+        view.setViewListener(accounts::recordView);
         RequestComponents components = new RequestComponents(
-                loop, clock, log, adapter, routing, directory, balancer, peers, metrics, plannedStop);
+                loop, clock, log, adapter, routing, directory, balancer, peers, metrics, plannedStop, accounts);
         callerServer = new CallerServer(group, components);
     }
 
@@ -203,6 +219,13 @@
         metrics.registerGauge(
                 "config.version",
                 () -> routing.config() == null ? 0 : routing.config().version());
+        metrics.registerGauge(
+                "accounts",
+                () -> routing.config() == null
+                        ? 0
+                        : routing.config().accounts().accounts().size());
+        metrics.registerGauge("accounts.config.recent", () -> accounts.isConfigurationRecent() ? 1 : 0);
+        metrics.registerGauge("accounts.config.age.millis", freshness::ageMillis);
         metrics.registerGauge("member.established", () -> established ? 1 : 0);
         metrics.registerGauge("responses.buffered.bytes", directory::bufferedResponseBytes);
         metrics.registerGauge("store.lost", () -> view.storeLost() ? 1 : 0);
@@ -234,6 +257,7 @@
             if (routing.applyIfNewer(written.config())) {
                 directory.setRoutingConfig(written.config());
             }
+            accounts.recordStoredConfiguration(written.config());
         } else if (event instanceof PlatformEvent.BackendListed listed) {
             directory.addOrUpdate(listed.entry(), listed.backend());
         } else if (event instanceof PlatformEvent.BackendRemoved removed) {
@@ -245,6 +269,9 @@
         } else if (event instanceof PlatformEvent.Unreadable unreadable) {
             log.warn("record-unreadable", "key", unreadable.key(), "problem", unreadable.problem());
             directory.remove(unreadable.key());
+            if (adapter.isConfiguration(unreadable.key())) {
+                accounts.recordUnusableConfiguration();
+            }
         }
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewayMetrics.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewayMetrics.java
@@ -16,7 +16,7 @@
 /**
  * Counters and latency histograms of the gateway.
  *
- * <p>Labels contain services, error codes and fixed words, never request ids, hosts or addresses, so the
+ * <p>Labels contain services, accounts, error codes and fixed words, never request ids, hosts or addresses, so the
  * configuration limits the number of time series. Confined to the event loop.
  */
 final class GatewayMetrics {
@@ -35,8 +35,14 @@
 
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<String, Counter> counters = new HashMap<>();
+    private final AccountMetrics accounts = new AccountMetrics(registry);
     private final Map<String, Timer> timers = new HashMap<>();
 
+    /** Returns the counters of requests by client account. */
+    AccountMetrics accounts() {
+        return accounts;
+    }
+
     /** Counts a decision. The reason must come from a limited set, because it becomes a label. */
     void countDecision(String decision, String reason) {
         counters.computeIfAbsent(decision + '/' + reason, key -> Counter.builder("jackdawslip.decisions")
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/LocalResponse.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/LocalResponse.java
@@ -19,7 +19,7 @@
      * Sends a plain text response.
      *
      * @param requestId the id of the request; empty if it has none
-     * @param retryAfterMillis delay before the caller may retry; sent with status 503 only
+     * @param retryAfterMillis delay before the caller may retry; sent with status 429 and 503 only
      */
     static void send(
             ResponseWriter reply, HeaderNames names, String requestId, int status, String text, long retryAfterMillis) {
@@ -27,7 +27,11 @@
         if (!requestId.isEmpty()) {
             headers.set(names.requestId(), requestId);
         }
-        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
+        if (status == HttpResponseStatus.UNAUTHORIZED.code()) {
+            headers.set(HttpHeaderNames.WWW_AUTHENTICATE, names.credentialScheme());
+        }
+        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+                || status == HttpResponseStatus.TOO_MANY_REQUESTS.code()) {
             headers.set(
                     HttpHeaderNames.RETRY_AFTER,
                     String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_PER_SECOND));
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 import io.netty.channel.EventLoop;
 import org.jackdawslip.internal.logging.EventLog;
@@ -85,6 +86,10 @@
     private int timeoutFactor = 1;
     /** Start of the newest call whose response showed all changes up to that time. */
     private long newestViewAt;
+    /** The highest revision of the store in a response. */
+    private long newestRevision;
+    /** Receives {@link #newestViewAt} after the changes of a response were applied. */
+    private LongConsumer viewListener = currentAt -> {};
 
     PlatformView(
             GatewayContext context,
@@ -109,6 +114,14 @@
                 Math.floorMod(settings.instance().hashCode(), ChangeTimeBudget.MAX_FIRST_RETRY_DELAY_MILLIS);
     }
 
+    /**
+     * Sets the receiver of the monotonic time in milliseconds up to which all changes that the store had confirmed are
+     * known; it is called after each response whose changes were applied.
+     */
+    void setViewListener(LongConsumer listener) {
+        viewListener = listener;
+    }
+
     /** Starts to read and then watch the store. */
     void start() {
         lastSuccessAt = clock.millis();
@@ -192,6 +205,7 @@
         }
         synced = true;
         feed.update(viewRevision, newestViewAt);
+        viewListener.accept(newestViewAt);
         watch();
     }
 
@@ -232,6 +246,7 @@
                 result.records().forEach(this::apply);
                 viewRevision = Math.max(viewRevision, result.revision());
                 feed.update(viewRevision, newestViewAt);
+                viewListener.accept(newestViewAt);
                 scheduleNext(this::watch, result.records().isEmpty() ? 0 : delayAfterChanges());
             }
             case HISTORY_GONE -> {
@@ -312,6 +327,12 @@
      */
     private void recordView(long sentAt, String call, DurableStore.Result result) {
         long currentAt = sentAt - result.ageMillis();
+        if (result.ageMillis() == 0 && result.revision() < newestRevision) {
+            // The store returned an older state, which shows nothing about later changes.
+            log.warn("view-stale", "call", call, "revision", result.revision(), "known", newestRevision);
+            return;
+        }
+        newestRevision = Math.max(newestRevision, result.revision());
         membershipStatus.recordView(currentAt);
         if (!result.records().isEmpty()) {
             log.info(
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestComponents.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestComponents.java
@@ -1,7 +1,9 @@
 package org.jackdawslip.internal.gateway;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
 import org.jackdawslip.internal.balance.Balancer;
+import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.time.MonotonicClock;
 
@@ -18,6 +20,7 @@
  * @param peers the exchange of load reports and key uses with other instances
  * @param metrics counters and histograms
  * @param plannedStop the time that a planned stop leaves for requests
+ * @param accounts authenticates requests by their client accounts
  */
 record RequestComponents(
         EventLoop loop,
@@ -29,4 +32,16 @@
         Balancer balancer,
         PeerExchange peers,
         GatewayMetrics metrics,
-        PlannedStop plannedStop) {}
+        PlannedStop plannedStop,
+        AccountGate accounts) {
+
+    /** Records the load that a response of a backend server reports; returns null if it reports none. */
+    LoadReport recordLoadReport(BackendDirectory.Target target, HttpHeaders headers) {
+        LoadReport load = adapter.decodeLoadReport(headers);
+        if (load != null) {
+            target.tracker.recordLoadReport(load, clock.millis(), 0);
+            peers.recordLoadReport(target, load);
+        }
+        return load;
+    }
+}
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -75,6 +77,9 @@
     private final List<Attempt> openAttempts = new ArrayList<>();
     private final SentConnections sentConnections = new SentConnections();
 
+    /** Decides under which client account the request may be sent. */
+    private final RequestAccount requestAccount;
+
     private HostRoute route;
     private ServiceName service;
     private ServerSelector serverSelector;
@@ -83,6 +88,8 @@
     private long queueUntil;
     /** Time by which the expected response exceeds its limit; determines the retry delay for the caller. */
     private double excessMillis;
+    /** Retry delay for the caller that a decision on its client account requires; 0 if there is none. */
+    private long requestedDelayMillis;
 
     private int keySlot = ServerSelector.NO_KEY;
     private Attempt lastAttempt;
@@ -108,6 +115,7 @@
         this.responseWriter = responseWriter;
         this.requestId = request.headers().get(components.adapter().headers().requestId(), "");
         this.requestLog = new RequestLog(components.log(), requestId);
+        this.requestAccount = components.accounts().forRequest(request, this::refuse);
     }
 
     void start() {
@@ -121,6 +129,9 @@
             refuse(ErrorCode.UNKNOWN_SERVICE, "no route for this host and path");
             return;
         }
+        if (!requestAccount.authenticate(config, route)) {
+            return;
+        }
         service = components.routing().selectService(route);
         ServiceConfig serviceConfig = config.service(service);
         if (serviceConfig == null) {
@@ -144,9 +155,13 @@
         }
         requestLog.setContext(route, service, keySlot);
         serverSelector = new ServerSelector(components, route, serviceConfig, keySlot);
-        components.routing().retryBudget(service).recordRequest(now());
         deadlineAt = Math.min(deadlineAt, components.plannedStop().endsAt());
         deadlineTimer = schedule(this::handleDeadline, deadlineAt - now());
+        requestAccount.requestQuota(() -> finished, this::startAdmitted);
+    }
+
+    private void startAdmitted() {
+        components.routing().retryBudget(service).recordRequest(now());
         attemptNextServer();
     }
 
@@ -162,6 +177,9 @@
             handleDeadline();
             return;
         }
+        if (!requestAccount.recheck()) {
+            return;
+        }
         BackendTracker server = serverSelector.selectServer();
         if (server == null) {
             if (keySlot >= 0 && serverSelector.mayWaitForOwner(now)) {
@@ -255,10 +273,7 @@
     }
 
     private void retry(String cause, Attempt failed) {
-        double remainingBudget = components
-                .routing()
-                .retryBudget(service)
-                .remaining(now(), components.routing().globalLimitShare());
+        double remainingBudget = components.routing().remainingRetries(service, now());
         requestLog.logRetry(failed.summary(), cause, now() - failed.sentAt, remainingBudget);
         components.metrics().countDecision("retry", cause);
         attemptNextServer();
@@ -323,11 +338,10 @@
     }
 
     private void handleServerError(Attempt attempt, FullHttpResponse response) {
-        boolean retryable = openAttempts.isEmpty() && route.kind().repeatable() && mayAttemptAgain();
         if (!openAttempts.isEmpty()) {
             return;
         }
-        if (retryable && tryUseRetryBudget()) {
+        if (route.kind().repeatable() && mayAttemptAgain() && tryUseRetryBudget()) {
             retry("status " + response.status().code(), attempt);
         } else if (BackendResponse.looksNotRun(response)) {
             failWithUnknownOutcome(
@@ -381,6 +395,11 @@
         sendLocalResponse(code == ErrorCode.DEADLINE_EXCEEDED ? 503 : code.httpStatus(), code, reason);
     }
 
+    private void refuse(AccountGate.Refusal refusal) {
+        requestedDelayMillis = refusal.retryDelayMillis();
+        refuse(refusal.code(), refusal.reason());
+    }
+
     private void sendLocalResponse(int status, ErrorCode code, String reason) {
         finish();
         RequestLog.AttemptSummary lastSummary =
@@ -390,14 +409,11 @@
         if (route != null) {
             components.metrics().recordResponse(route, now() - request.receivedAt(), status);
         }
-        long retryAfterMillis = Admission.retryDelayMillis(excessMillis, Math.max(0, deadlineAt - now()));
-        LocalResponse.send(
-                responseWriter,
-                components.adapter().headers(),
-                requestId,
-                status,
-                code + ": " + reason,
-                retryAfterMillis);
+        long retryAfterMillis = requestedDelayMillis > 0
+                ? requestedDelayMillis
+                : Admission.retryDelayMillis(excessMillis, Math.max(0, deadlineAt - now()));
+        HeaderNames names = components.adapter().headers();
+        LocalResponse.send(responseWriter, names, requestId, status, code + ": " + reason, retryAfterMillis);
     }
 
     /**
@@ -440,15 +456,9 @@
     }
 
     private void cancelTimers() {
-        cancel(deadlineTimer);
-        cancel(ownerPollTimer);
-        cancel(hedgeTimer);
-    }
-
-    private static void cancel(ScheduledFuture<?> timer) {
-        if (timer != null) {
-            timer.cancel(false);
-        }
+        Stream.of(deadlineTimer, ownerPollTimer, hedgeTimer)
+                .filter(Objects::nonNull)
+                .forEach(timer -> timer.cancel(false));
     }
 
     private ScheduledFuture<?> schedule(Runnable action, long millis) {
@@ -474,9 +484,7 @@
         private final boolean queued;
 
         private final double estimatedRequestsAtStart;
-
         private final AttemptFailures failures;
-
         private ConnectionPool.Exchange exchange;
         private boolean open = true;
 
@@ -514,7 +522,10 @@
         @Override
         public SendDecision beforeSend(boolean verified) {
             long now = now();
-            if (finished || !components.directory().mayReceiveRequest(target) || now >= deadlineAt) {
+            if (finished
+                    || !components.directory().mayReceiveRequest(target)
+                    || now >= deadlineAt
+                    || !requestAccount.prepareSend(backendRequest.headers())) {
                 return SendDecision.WITHDRAW;
             }
             boolean cold = target.tracker.cold(now);
@@ -531,8 +542,8 @@
                 if (cold) {
                     requestLog.logSentToColdServer(
                             summary(),
-                            target.tracker.remainingColdMillis(now),
-                            target.tracker.recentAttempts(now),
+                            target.tracker,
+                            now,
                             components.routing().instances().size());
                 }
             }
@@ -552,19 +563,7 @@
         /** Returns whether the response is one to another request or to a state probe. */
         private boolean isUnrelated(HttpResponse response) {
             String foreignId = BackendResponse.foreignId(components.adapter().headers(), response, requestId);
-            if (foreignId != null) {
-                requestLog.logUnrelatedResponse(summary(), foreignId);
-            }
-            return foreignId != null;
-        }
-
-        private LoadReport recordLoadReport(HttpResponse response) {
-            LoadReport load = components.adapter().decodeLoadReport(response.headers());
-            if (load != null) {
-                target.tracker.recordLoadReport(load, now(), 0);
-                components.peers().recordLoadReport(target, load);
-            }
-            return load;
+            return foreignId != null && requestLog.logUnrelatedResponse(summary(), foreignId);
         }
 
         private void recordServiceTime(LoadReport load) {
@@ -591,7 +590,7 @@
                     || !responseWriter.canWriteParts(contentLength)) {
                 return null;
             }
-            recordServiceTime(recordLoadReport(head));
+            recordServiceTime(components.recordLoadReport(target, head.headers()));
             openAttempts.remove(this);
             finish();
             streamedResponse = new StreamedResponse(exchange, head, this);
@@ -641,7 +640,7 @@
                 return false;
             }
             close();
-            LoadReport load = recordLoadReport(response);
+            LoadReport load = components.recordLoadReport(target, response.headers());
             if (BackendResponse.reportsNotRun(components.adapter().headers(), response)) {
                 if (!exchange.recordRefusal(responseId != null)) {
                     requestLog.logUnrelatedResponse(
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestLog.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestLog.java
@@ -3,6 +3,7 @@
 import org.jackdawslip.BackendServerId;
 import org.jackdawslip.ErrorCode;
 import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.balance.BackendTracker;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.traffic.HostRoute;
 import org.jackdawslip.internal.traffic.RequestKind;
@@ -78,8 +79,12 @@
      */
     void logFailure(
             AttemptSummary last, int status, ErrorCode code, String reason, int attemptCount, long afterMillis) {
+        // Requests without a valid key or beyond a quota may be many, and have an event, so a limit of lines, of their
+        // own.
         log.info(
-                "request-failed",
+                code == ErrorCode.UNAUTHORIZED || code == ErrorCode.QUOTA_EXCEEDED
+                        ? "request-denied"
+                        : "request-failed",
                 "request",
                 requestId,
                 "route",
@@ -165,10 +170,9 @@
      * Logs an attempt at a cold server. The attempts of all instances within a second count together against
      * the capacity of a cold server.
      *
-     * @param coldMillis remaining warm-up time of the server, in milliseconds
-     * @param sentInLastSecond requests that this instance sent to the server within the last second
+     * @param server the state of the server, with the requests that this instance sent to it within the last second
      */
-    void logSentToColdServer(AttemptSummary attempt, long coldMillis, int sentInLastSecond, int liveInstances) {
+    void logSentToColdServer(AttemptSummary attempt, BackendTracker server, long now, int liveInstances) {
         log.info(
                 "request-to-cold-backend",
                 "request",
@@ -184,9 +188,9 @@
                 "backend",
                 attempt.backend(),
                 "coldMillis",
-                coldMillis,
+                server.remainingColdMillis(now),
                 "sentInLastSecond",
-                sentInLastSecond,
+                server.recentAttempts(now),
                 "liveInstances",
                 liveInstances);
     }
@@ -212,11 +216,12 @@
     }
 
     /**
-     * Logs a response that does not belong to the request.
+     * Logs a response that does not belong to the request; returns true.
      *
      * @param receivedId the request id in the response, or a description of the response if it contains none
      */
-    void logUnrelatedResponse(AttemptSummary attempt, String receivedId) {
+    boolean logUnrelatedResponse(AttemptSummary attempt, String receivedId) {
         log.warn("answer-of-other-request", "request", requestId, "backend", attempt.backend(), "got", receivedId);
+        return true;
     }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
@@ -108,6 +108,11 @@
                         settings.platformLimits().retryWindowMillis()));
     }
 
+    /** Returns the number of retries that this instance may still send to the service. */
+    double remainingRetries(ServiceName service, long now) {
+        return retryBudget(service).remaining(now, globalLimitShare());
+    }
+
     LatencyEstimate latencyEstimate(HostRoute route, ServiceName service) {
         return latencyEstimates.computeIfAbsent(
                 route.name() + ' ' + service,
