Ignore responses to calls that were sent before a suspension

Cause: after a suspension of the host, a check of the lease consumed the detected clock jump. The response to a renewal or read that was sent before the suspension then counted as fresh, although its term may have ended during the suspension.

Change: a renewal counts only if its call was sent after the last detected jump.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/time/LeaseGuard.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/time/LeaseGuard.java
@@ -5,7 +5,8 @@
  *
  * <p>The term counts from the time at which the call that created or renewed the lease was sent. The
  * monotonic clock does not advance while the host is suspended, so a jump of the difference between wall
- * clock and monotonic clock ends the validity until the next renewal.
+ * clock and monotonic clock ends the validity until the response to a renewal that was sent after the jump was
+ * detected.
  */
 public final class LeaseGuard {
 
@@ -21,6 +22,8 @@
     private final WallClock wallClock;
     private long validUntilMillis = Long.MIN_VALUE;
     private long clockDifferenceMillis;
+    /** Monotonic time at which the last jump was detected. The term of earlier calls may have ended. */
+    private long jumpDetectedAt = Long.MIN_VALUE;
 
     /** Creates the guard of a lease that is not held. */
     public LeaseGuard(MonotonicClock clock, WallClock wallClock) {
@@ -30,13 +33,13 @@
     }
 
     /**
-     * Records a renewal of the lease. It has no effect if the clocks jumped since the last check.
+     * Records a renewal of the lease. It has no effect if the clocks jumped after the call was sent.
      *
      * @param sentAt the monotonic time in milliseconds at which the call was sent
      * @param termMillis the term of the lease in milliseconds
      */
     public void recordRenewal(long sentAt, long termMillis) {
-        if (!detectClockJump()) {
+        if (!detectClockJump() && sentAt >= jumpDetectedAt) {
             validUntilMillis = sentAt + termMillis - SAFETY_MARGIN_MILLIS;
         }
     }
@@ -58,6 +61,7 @@
         clockDifferenceMillis = current;
         if (jumped) {
             validUntilMillis = Long.MIN_VALUE;
+            jumpDetectedAt = clock.millis();
         }
         return jumped;
     }
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/time/LeaseGuardTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/time/LeaseGuardTest.java
@@ -52,6 +52,19 @@
         assertFalse(guard.isValid());
     }
 
+    /**
+     * The event loop may check the lease between a suspension and the response to a renewal that was sent before it.
+     */
+    @Test
+    void renewalAcrossASuspensionDoesNotCountAfterACheck() {
+        long sentAt = monotonic;
+        advance(10);
+        wall += 5_000;
+        assertFalse(guard.isValid());
+        guard.recordRenewal(sentAt, 3_000);
+        assertFalse(guard.isValid());
+    }
+
     /**
      * A step of the wall clock is treated like a suspension; the lease is valid again after the next renewal.
      */
