Decide which instance holds an exclusive role

Cause: quotas need one owner for each account. An established instance is the only one that ranks first in its own view, but not if the store removes a listing whose lease seems valid: such an instance stays established for up to 10 s, and a joining instance has the role only 10 s after the others gave it up.

Change: MembershipStatus.mayHoldExclusiveRole rests on the age of the views only: the view is at most 3 s old, has been continuous for 3 s, and the listing is 8 s old. exclusiveTenure changes when another instance may have had the role.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/membership/MembershipStatus.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/membership/MembershipStatus.java
@@ -27,11 +27,35 @@
      */
     public static final long MIN_LISTED_MILLIS = MAX_VIEW_AGE_MILLIS;
 
+    /**
+     * The largest age of the view of an instance that holds exclusive roles, in milliseconds. A view is at most 2 s
+     * old if no more than one call in a row is lost ({@code ChangeTimeBudget} of the gateway). It is also the time
+     * for which a departed instance may not know that its listing is gone.
+     */
+    public static final long EXCLUSIVE_VIEW_AGE_MILLIS = 3_000;
+    /** The time for which an instance must be listed before it holds exclusive roles, in milliseconds. */
+    public static final long EXCLUSIVE_MIN_LISTED_MILLIS = 8_000;
+    /**
+     * The time after the first sight of a listing at which exclusive roles are given up to its instance, in
+     * milliseconds. Together with {@link #MAX_VIEW_GAP_MILLIS}, and with clocks whose rates differ by 2 %, it is
+     * less than {@link #EXCLUSIVE_MIN_LISTED_MILLIS}.
+     */
+    public static final long EXCLUSIVE_JOIN_DELAY_MILLIS = 4_400;
+    /**
+     * The largest interval between views, in milliseconds, after which an instance has certainly seen every other
+     * instance that can hold an exclusive role.
+     */
+    public static final long MAX_VIEW_GAP_MILLIS = 3_500;
+
     private static final long NOT_LISTED = Long.MAX_VALUE;
 
     private final MonotonicClock clock;
     private final LeaseGuard listingLease;
     private final LeaseGuard viewValidity;
+    private final LeaseGuard recentView;
+    private final LeaseGuard viewContinuity;
+    private long continuousSince;
+    private long tenure;
     private long listedAtMillis = NOT_LISTED;
 
     /** Creates the status of an instance that is not listed. */
@@ -39,6 +63,9 @@
         this.clock = clock;
         this.listingLease = new LeaseGuard(clock, wallClock);
         this.viewValidity = new LeaseGuard(clock, wallClock);
+        this.recentView = new LeaseGuard(clock, wallClock);
+        this.viewContinuity = new LeaseGuard(clock, wallClock);
+        this.continuousSince = clock.millis();
     }
 
     /**
@@ -50,6 +77,7 @@
     public void recordListing(long leaseSentAt, long termMillis) {
         listingLease.recordRenewal(leaseSentAt, termMillis);
         listedAtMillis = clock.millis();
+        tenure++;
     }
 
     /** Records a renewal of the lease of the listing, whose call was sent at the given monotonic time. */
@@ -61,11 +89,18 @@
     public void recordListingEnd() {
         listingLease.recordEnd();
         listedAtMillis = NOT_LISTED;
+        tenure++;
     }
 
     /** Records a response of the store with all listings as of the given monotonic time or later. */
     public void recordView(long sentAt) {
         viewValidity.recordRenewal(sentAt, MAX_VIEW_AGE_MILLIS);
+        recentView.recordRenewal(sentAt, EXCLUSIVE_VIEW_AGE_MILLIS);
+        if (!viewContinuity.isValid()) {
+            continuousSince = clock.millis();
+            tenure++;
+        }
+        viewContinuity.recordRenewal(sentAt, MAX_VIEW_GAP_MILLIS);
     }
 
     /**
@@ -84,4 +119,40 @@
                 && clock.millis() - listedAtMillis >= MIN_LISTED_MILLIS;
         return listed && viewValidity.isValid();
     }
+
+    /**
+     * Returns whether this instance may hold a role that at most one instance may hold at any time, provided that it
+     * also precedes all others in the order of the role.
+     *
+     * <p>Others count as present from {@link #EXCLUSIVE_JOIN_DELAY_MILLIS} after their listing was seen until
+     * {@link #EXCLUSIVE_VIEW_AGE_MILLIS} after its removal was seen. The rule holds also if the store removes a
+     * listing whose lease seems valid, because it depends on the age of the views of both instances and not on the
+     * lease. docs/design/quotas.md has the argument.
+     */
+    public boolean mayHoldExclusiveRole() {
+        long now = clock.millis();
+        // Every guard is asked, so that each one detects a jump of the clocks.
+        boolean listed = listingLease.isValid();
+        boolean recent = recentView.isValid();
+        boolean continuous = viewContinuity.isValid();
+        return listed
+                && recent
+                && continuous
+                && listedAtMillis != NOT_LISTED
+                && now - listedAtMillis >= EXCLUSIVE_MIN_LISTED_MILLIS
+                && now - continuousSince >= EXCLUSIVE_VIEW_AGE_MILLIS;
+    }
+
+    /**
+     * Returns a number that changes whenever another instance may have held an exclusive role of this instance: with
+     * each new or ended listing of this instance, and after a gap between its views.
+     */
+    public long exclusiveTenure() {
+        return tenure;
+    }
+
+    /** Returns the monotonic time in milliseconds since which views have followed one another without a gap. */
+    public long viewsContinuousSince() {
+        return continuousSince;
+    }
 }
