Exchange quota tokens between gateway instances

Cause: the quota of an account needs messages between the instance that received a request and the quota owner.

Change: PeerExchange has message types 7 (requests for tokens) and 8 (replies), which older versions skip.

QuotaGate is not called yet by requests.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -22,6 +22,8 @@
 import org.jackdawslip.internal.logging.AsyncLineWriter;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
+import org.jackdawslip.internal.quota.QuotaReply;
+import org.jackdawslip.internal.quota.QuotaRequest;
 import org.jackdawslip.internal.time.LeaseGuard;
 import org.jackdawslip.internal.time.MonotonicClock;
 
@@ -74,6 +76,7 @@
     private final MemberListings memberListings;
     private final KeyCoordinatorRole keyCoordinatorRole;
     private final PeerExchange peers;
+    private final QuotaExchange quotas;
     private final CallerServer callerServer;
     private final PlatformAdapter adapter;
     private final PlannedStop plannedStop = new PlannedStop();
@@ -129,7 +132,26 @@
             public void moveAnnounced(KeyMoveAnnouncement announcement) {
                 Gateway.this.applyMoveAnnouncement(announcement);
             }
+
+            @Override
+            public void quotaRequested(InstanceId requester, List<QuotaRequest> requests) {
+                quotas.handleRequests(requester, requests);
+            }
+
+            @Override
+            public void quotaReplied(InstanceId replier, List<QuotaReply> replies) {
+                quotas.handleReplies(replier, replies);
+            }
         });
+        quotas = new QuotaExchange(
+                context,
+                Clocks.wall(),
+                membershipStatus,
+                metrics,
+                () -> routing.config() == null ? 0 : routing.config().version(),
+                peers::sendQuotaRequests,
+                peers::sendQuotaReplies,
+                random);
         directory.setLeavingListener(peers::announceLeaving);
         Balancer balancer = new Balancer(settings.domain(), random);
         RequestComponents components = new RequestComponents(
@@ -154,6 +176,7 @@
         peers.start(address(settings.peerAddress()));
         relay.start(group, address(settings.peerAddress()));
         registerGauges();
+        quotas.start(context);
         loop.execute(() -> {
             log.info("started", "domain", settings.domain(), "store", settings.storeAddress());
             view.start();
@@ -267,6 +290,7 @@
         Set<InstanceId> instances = routing.instances();
         directory.setLiveInstanceCount(instances.size());
         view.setLiveInstanceCount(instances.size());
+        quotas.setLiveInstances(instances);
     }
 
     /**
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -30,6 +31,8 @@
 import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.keyspace.KeyMoveAnnouncement;
 import org.jackdawslip.internal.logging.EventLog;
+import org.jackdawslip.internal.quota.QuotaReply;
+import org.jackdawslip.internal.quota.QuotaRequest;
 import org.jackdawslip.internal.time.MonotonicClock;
 
 /**
@@ -37,8 +40,8 @@
  * load reports of the backend servers, and to the key coordinator which keys were used.
  *
  * <p>Each message is one datagram in protobuf wire format. Values are absolute, so a lost or repeated
- * datagram does no lasting harm. No guarantee of the router depends on these messages. Confined to the event
- * loop.
+ * datagram does no lasting harm. No guarantee of the router depends on these messages, except that quotas depend on
+ * the requests for tokens and their replies ({@link QuotaExchange}). Confined to the event loop.
  */
 final class PeerExchange {
 
@@ -71,6 +74,9 @@
     /** Limit of entries in one datagram. At 40 bytes an entry the datagram stays below the usual frame size. */
     private static final int MAX_ENTRIES_PER_DATAGRAM = 30;
 
+    /** Limit of requests for tokens in one datagram. Each takes up to 110 bytes. */
+    private static final int MAX_QUOTA_ENTRIES_PER_DATAGRAM = 12;
+
     /** Relative service times are sent as integer percentages. */
     private static final double PERCENT_SCALE = 100;
 
@@ -80,6 +86,8 @@
     private static final int FIELD_COMPLETE = 4;
     private static final int FIELD_MOVE_ANNOUNCEMENT = 5;
     private static final int FIELD_LEAVING = 6;
+    private static final int FIELD_QUOTA_REQUEST = 7;
+    private static final int FIELD_QUOTA_REPLY = 8;
 
     private final GatewayContext context;
     private final InstanceId self;
@@ -261,6 +269,42 @@
         peers.values().forEach(peer -> send(peer.address(), bytes));
     }
 
+    /** Sends requests for tokens to one instance. */
+    void sendQuotaRequests(InstanceId recipient, List<QuotaRequest> requests) {
+        sendInBatches(
+                recipient,
+                requests,
+                (output, request) -> output.writeByteArray(FIELD_QUOTA_REQUEST, PeerMessages.encode(request)));
+    }
+
+    /** Sends replies to requests for tokens to one instance. */
+    void sendQuotaReplies(InstanceId recipient, List<QuotaReply> replies) {
+        sendInBatches(
+                recipient,
+                replies,
+                (output, reply) -> output.writeByteArray(FIELD_QUOTA_REPLY, PeerMessages.encode(reply)));
+    }
+
+    /** Writes one entry of a datagram. */
+    private interface EntryWriter<T> {
+        void write(CodedOutputStream output, T entry) throws IOException;
+    }
+
+    private <T> void sendInBatches(InstanceId recipient, List<T> entries, EntryWriter<T> writer) {
+        Peer peer = peers.get(recipient);
+        if (peer == null) {
+            return;
+        }
+        for (int from = 0; from < entries.size(); from += MAX_QUOTA_ENTRIES_PER_DATAGRAM) {
+            List<T> batch = entries.subList(from, Math.min(entries.size(), from + MAX_QUOTA_ENTRIES_PER_DATAGRAM));
+            send(peer.address(), PeerMessages.encode(output -> {
+                for (T entry : batch) {
+                    writer.write(output, entry);
+                }
+            }));
+        }
+    }
+
     private void repeatCounts() {
         List<BackendDirectory.Target> targetsInFlight = directory.all().stream()
                 .filter(target -> target.tracker.inFlight() > 0)
@@ -345,6 +389,8 @@
 
         private void readDatagram(CodedInputStream input) throws IOException {
             InstanceId sender = null;
+            List<QuotaRequest> quotaRequests = new ArrayList<>(0);
+            List<QuotaReply> quotaReplies = new ArrayList<>(0);
             for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
                 switch (WireFormat.getTagFieldNumber(tag)) {
                     case FIELD_SENDER -> {
@@ -360,6 +406,9 @@
                     case FIELD_MOVE_ANNOUNCEMENT -> listener.moveAnnounced(
                             PeerMessages.decodeMoveAnnouncement(input.readByteArray()));
                     case FIELD_LEAVING -> applyLeaving(PeerMessages.decodeLeavingServer(input.readByteArray()));
+                    case FIELD_QUOTA_REQUEST -> quotaRequests.add(
+                            PeerMessages.decodeQuotaRequest(input.readByteArray()));
+                    case FIELD_QUOTA_REPLY -> quotaReplies.add(PeerMessages.decodeQuotaReply(input.readByteArray()));
                     case FIELD_KEY -> {
                         PeerMessages.KeyUse use = PeerMessages.decodeKeyUse(input.readByteArray());
                         listener.keyUsed(use.service(), use.slot());
@@ -367,6 +416,12 @@
                     default -> input.skipField(tag);
                 }
             }
+            if (sender != null && !quotaRequests.isEmpty()) {
+                listener.quotaRequested(sender, quotaRequests);
+            }
+            if (sender != null && !quotaReplies.isEmpty()) {
+                listener.quotaReplied(sender, quotaReplies);
+            }
         }
 
         private void applyLeaving(PeerMessages.LeavingServer leaving) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerListener.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerListener.java
@@ -1,7 +1,12 @@
 package org.jackdawslip.internal.gateway;
 
+import java.util.List;
+
+import org.jackdawslip.InstanceId;
 import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.keyspace.KeyMoveAnnouncement;
+import org.jackdawslip.internal.quota.QuotaReply;
+import org.jackdawslip.internal.quota.QuotaRequest;
 
 /** Receives messages of peers. Called on the event loop. */
 interface PeerListener {
@@ -13,4 +18,10 @@
 
     /** The key coordinator announced a key move. */
     void moveAnnounced(KeyMoveAnnouncement announcement);
+
+    /** Another instance asked for tokens of accounts, in one datagram. */
+    default void quotaRequested(InstanceId requester, List<QuotaRequest> requests) {}
+
+    /** Another instance replied to requests for tokens, in one datagram. */
+    default void quotaReplied(InstanceId replier, List<QuotaReply> replies) {}
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerMessages.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerMessages.java
@@ -6,14 +6,18 @@
 import com.google.protobuf.CodedInputStream;
 import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
+import org.jackdawslip.AccountName;
 import org.jackdawslip.BackendServerId;
 import org.jackdawslip.ErrorCode;
 import org.jackdawslip.FencingToken;
 import org.jackdawslip.JackdawslipException;
 import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.account.Quota;
 import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.keyspace.KeyMoveAnnouncement;
 import org.jackdawslip.internal.keyspace.KeySegment;
+import org.jackdawslip.internal.quota.QuotaReply;
+import org.jackdawslip.internal.quota.QuotaRequest;
 
 /**
  * Encodes and decodes parts of datagrams between instances in protobuf wire format. Stateless and
@@ -37,6 +41,16 @@
     private static final int SERVER_SERVICE_TIME_PERCENT = 7;
     private static final int LEAVING_ID = 1;
     private static final int LEAVING_STARTED = 2;
+    private static final int QUOTA_NUMBER = 1;
+    private static final int QUOTA_ACCOUNT = 2;
+    private static final int QUOTA_VERSION = 3;
+    private static final int QUOTA_RATE = 4;
+    private static final int QUOTA_BURST = 5;
+    private static final int QUOTA_NEEDED = 6;
+    private static final int QUOTA_EXTRA = 7;
+    private static final int QUOTA_OWNER = 6;
+    private static final int QUOTA_GRANTED = 7;
+    private static final int QUOTA_RETRY_MILLIS = 8;
     private static final int KEY_SERVICE = 1;
     private static final int KEY_SLOT = 2;
 
@@ -205,4 +219,77 @@
                 new FencingToken(numbers[MOVE_TOKEN]));
         return new KeyMoveAnnouncement(new ServiceName(service), segment, numbers[MOVE_GRANTED] != 0);
     }
+
+    static byte[] encode(QuotaRequest request) {
+        return encode(output -> {
+            output.writeInt64(QUOTA_NUMBER, request.number());
+            output.writeString(QUOTA_ACCOUNT, request.account().value());
+            output.writeInt64(QUOTA_VERSION, request.configVersion());
+            output.writeDouble(QUOTA_RATE, request.quota().requestsPerSecond());
+            output.writeDouble(QUOTA_BURST, request.quota().burst());
+            output.writeInt32(QUOTA_NEEDED, request.needed());
+            output.writeInt32(QUOTA_EXTRA, request.extra());
+        });
+    }
+
+    static QuotaRequest decodeQuotaRequest(byte[] bytes) throws IOException {
+        CodedInputStream input = CodedInputStream.newInstance(bytes);
+        String account = "";
+        double rate = 0;
+        double burst = 0;
+        long[] numbers = new long[QUOTA_EXTRA + 1];
+        for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
+            int field = WireFormat.getTagFieldNumber(tag);
+            switch (field) {
+                case QUOTA_ACCOUNT -> account = input.readString();
+                case QUOTA_RATE -> rate = input.readDouble();
+                case QUOTA_BURST -> burst = input.readDouble();
+                case QUOTA_NUMBER, QUOTA_VERSION, QUOTA_NEEDED, QUOTA_EXTRA -> numbers[field] = input.readInt64();
+                default -> input.skipField(tag);
+            }
+        }
+        return new QuotaRequest(
+                numbers[QUOTA_NUMBER],
+                new AccountName(account),
+                numbers[QUOTA_VERSION],
+                new Quota(rate, burst),
+                (int) numbers[QUOTA_NEEDED],
+                (int) numbers[QUOTA_EXTRA]);
+    }
+
+    static byte[] encode(QuotaReply reply) {
+        return encode(output -> {
+            output.writeInt64(QUOTA_NUMBER, reply.number());
+            output.writeInt64(QUOTA_VERSION, reply.configVersion());
+            output.writeDouble(QUOTA_RATE, reply.quota().requestsPerSecond());
+            output.writeDouble(QUOTA_BURST, reply.quota().burst());
+            output.writeBool(QUOTA_OWNER, reply.owner());
+            output.writeInt32(QUOTA_GRANTED, reply.granted());
+            output.writeInt64(QUOTA_RETRY_MILLIS, reply.retryMillis());
+        });
+    }
+
+    static QuotaReply decodeQuotaReply(byte[] bytes) throws IOException {
+        CodedInputStream input = CodedInputStream.newInstance(bytes);
+        double rate = 0;
+        double burst = 0;
+        long[] numbers = new long[QUOTA_RETRY_MILLIS + 1];
+        for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
+            int field = WireFormat.getTagFieldNumber(tag);
+            switch (field) {
+                case QUOTA_RATE -> rate = input.readDouble();
+                case QUOTA_BURST -> burst = input.readDouble();
+                case QUOTA_NUMBER, QUOTA_VERSION, QUOTA_OWNER, QUOTA_GRANTED, QUOTA_RETRY_MILLIS -> numbers[field] =
+                        input.readInt64();
+                default -> input.skipField(tag);
+            }
+        }
+        return new QuotaReply(
+                numbers[QUOTA_NUMBER],
+                numbers[QUOTA_OWNER] != 0,
+                (int) numbers[QUOTA_GRANTED],
+                numbers[QUOTA_RETRY_MILLIS],
+                numbers[QUOTA_VERSION],
+                new Quota(rate, burst));
+    }
 }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/PeerMessagesTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/PeerMessagesTest.java
@@ -2,13 +2,17 @@
 
 import java.io.IOException;
 
+import org.jackdawslip.AccountName;
 import org.jackdawslip.BackendServerId;
 import org.jackdawslip.FencingToken;
 import org.jackdawslip.JackdawslipException;
 import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.account.Quota;
 import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.keyspace.KeyMoveAnnouncement;
 import org.jackdawslip.internal.keyspace.KeySegment;
+import org.jackdawslip.internal.quota.QuotaReply;
+import org.jackdawslip.internal.quota.QuotaRequest;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -44,9 +48,37 @@
         assertEquals(announcement, PeerMessages.decodeMoveAnnouncement(PeerMessages.encode(announcement)));
     }
 
+    @Test
+    void quotaRequestKeepsAllFields() throws IOException {
+        QuotaRequest request =
+                new QuotaRequest(Long.MAX_VALUE, new AccountName("mossbank"), 71, new Quota(22.5, 40), 3, 12);
+        assertEquals(request, PeerMessages.decodeQuotaRequest(PeerMessages.encode(request)));
+    }
+
+    @Test
+    void quotaReplyKeepsAllFields() throws IOException {
+        QuotaReply reply = new QuotaReply(Long.MAX_VALUE, true, 3, 250, 71, new Quota(22.5, 40));
+        assertEquals(reply, PeerMessages.decodeQuotaReply(PeerMessages.encode(reply)));
+        QuotaReply notOwner = new QuotaReply(5, false, 0, 500, 0, Quota.UNLIMITED);
+        assertEquals(notOwner, PeerMessages.decodeQuotaReply(PeerMessages.encode(notOwner)));
+    }
+
+    /** Later versions may add fields. */
+    @Test
+    void unknownFieldsOfQuotaMessagesAreSkipped() throws IOException {
+        QuotaReply reply = new QuotaReply(5, true, 3, 250, 71, new Quota(22.5, 40));
+        byte[] known = PeerMessages.encode(reply);
+        byte[] extended = PeerMessages.encode(output -> {
+            output.writeRawBytes(known);
+            output.writeString(99, "later");
+        });
+        assertEquals(reply, PeerMessages.decodeQuotaReply(extended));
+    }
+
     @Test
     void invalidBytesAreRejected() {
         assertThrows(JackdawslipException.class, () -> PeerMessages.decodeServerState(new byte[0]));
+        assertThrows(JackdawslipException.class, () -> PeerMessages.decodeQuotaRequest(new byte[0]));
         assertThrows(IOException.class, () -> PeerMessages.decodeServerState(new byte[] {10, 100, 1}));
     }
 }
