Move the admission of an attempt out of the request forwarder

Cause: RequestForwarder decides the deadline of a request, whether an attempt is worth starting, and the reason and the retry delay of a refusal, beside sending the attempts.

Change: AttemptAdmission has the deadline and the decision, Refusal the reason and the excess time of a refusal.

Result: GatewaySessionTest passes.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -51,12 +51,6 @@
     private static final double MIN_HEDGE_DELAY_SHARE = 0.45;
     /** A response is overdue after this multiple of the expected response time. */
     private static final double OVERDUE_FACTOR = 2;
-    /**
-     * Value of {@link #excessMillis} for a key without an owner. The time until the next grant is unknown, so the
-     * caller receives the longest retry delay.
-     */
-    private static final double MAX_EXCESS_MILLIS = Double.MAX_VALUE;
-
     /** Slowdown that a server reports if no other workload on its host delays it, in percent. */
     private static final double USUAL_SLOWDOWN_PERCENT = 100;
     /** Refused attempts after which a request for a key fails. */
@@ -78,9 +72,8 @@
     private HostRoute route;
     private ServiceName service;
     private ServerSelector serverSelector;
+    private AttemptAdmission admission;
     private long deadlineAt;
-    /** Latest time of the expected response at which the first attempt may wait in the queue of a server. */
-    private long queueUntil;
     /** Time by which the expected response exceeds its limit; determines the retry delay for the caller. */
     private double excessMillis;
 
@@ -127,12 +120,8 @@
             refuse(ErrorCode.NO_BACKEND_SERVER, "the configuration does not describe the service");
             return;
         }
-        Long requestedTimeoutMillis =
-                request.numericHeader(components.adapter().headers().remainingMillis());
-        long callerTimeoutMillis = requestedTimeoutMillis == null ? route.timeoutMillis() : requestedTimeoutMillis;
-        deadlineAt = request.receivedAt() + Math.min(callerTimeoutMillis, route.timeoutMillis());
-        queueUntil = request.receivedAt()
-                + components.routing().admission().responseTimeLimitMillis(route, callerTimeoutMillis);
+        admission = new AttemptAdmission(components, route, request);
+        deadlineAt = admission.deadlineAt();
         if (serviceConfig.keyed()) {
             Long slot = request.numericHeader(components.adapter().headers().key());
             if (slot == null || slot < 0 || slot >= KeySegment.SLOTS) {
@@ -145,7 +134,6 @@
         requestLog.setContext(route, service, keySlot);
         serverSelector = new ServerSelector(components, route, serviceConfig, keySlot);
         components.routing().retryBudget(service).recordRequest(now());
-        deadlineAt = Math.min(deadlineAt, components.plannedStop().endsAt());
         deadlineTimer = schedule(this::handleDeadline, deadlineAt - now());
         attemptNextServer();
     }
@@ -167,39 +155,19 @@
             if (keySlot >= 0 && serverSelector.mayWaitForOwner(now)) {
                 ownerPollTimer = schedule(this::attemptNextServer, OWNER_POLL_INTERVAL_MILLIS);
             } else {
-                refuseWithoutServer();
+                refuse(Refusal.withoutServer(serverSelector));
             }
             return;
         }
         double expectedMillis = server.expectedResponseMillis(latency().meanMillis(), now);
-        long latestResponseAt = lastAttempt == null ? queueUntil : deadlineAt;
-        if (now + expectedMillis > latestResponseAt
-                && server.estimatedRequests(now) >= server.backend().slots()) {
-            excessMillis = now + expectedMillis - latestResponseAt;
-            refuse(ErrorCode.QUEUE_FULL, "expected time " + Math.round(expectedMillis) + " ms exceeds the useful time");
-            return;
-        }
-        if (!components.plannedStop().admits(route.kind(), expectedMillis, now)) {
-            refuse(ErrorCode.STOPPING, "the instance stops before a response can be expected");
+        Refusal refusal = admission.check(server, expectedMillis, lastAttempt == null, now);
+        if (refusal != null) {
+            refuse(refusal);
             return;
         }
         startAttempt(server, expectedMillis);
     }
 
-    private void refuseWithoutServer() {
-        long pauseMillis = serverSelector.requestedPauseMillis();
-        if (pauseMillis > 0) {
-            excessMillis = pauseMillis;
-            refuse(ErrorCode.NO_BACKEND_SERVER, "every server that can take it asked for a pause");
-        } else if (keySlot >= 0) {
-            excessMillis = MAX_EXCESS_MILLIS;
-            refuse(ErrorCode.NO_OWNER, "no server can take it");
-        } else {
-            excessMillis = 0;
-            refuse(ErrorCode.NO_BACKEND_SERVER, "no server can take it");
-        }
-    }
-
     private LatencyEstimate latency() {
         return serverSelector.latency();
     }
@@ -381,6 +349,11 @@
         sendLocalResponse(code == ErrorCode.DEADLINE_EXCEEDED ? 503 : code.httpStatus(), code, reason);
     }
 
+    private void refuse(Refusal refusal) {
+        excessMillis = refusal.excessMillis();
+        refuse(refusal.code(), refusal.reason());
+    }
+
     private void sendLocalResponse(int status, ErrorCode code, String reason) {
         finish();
         RequestLog.AttemptSummary lastSummary =
