Keep room in the queues for more urgent requests

Cause: a first attempt is admitted up to the target latency of its own class. Of two classes of a service, the one with the longer target fills the queues up to a length at which the other one is always refused, whatever their priorities are.

The priority is a parameter, so that an account can replace that of the route. Decisions are counted by service and priority.

HeavyLoadTest asserts the bounds of the requirements.

--- /dev/null
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/HeavyLoadTest.java
@@ -0,0 +1,106 @@
+package org.jackdawslip.internal.balance;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.function.Function;
+
+import org.jackdawslip.internal.balance.HeavyLoadModel.AdmissionRule;
+import org.jackdawslip.internal.balance.HeavyLoadModel.Outcome;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards against a service whose less urgent requests are served better than its more urgent ones, and against a class
+ * that is hardly served at all. The bounds are those of docs/hard-load.md, section 3, over the seeds 1 to 5.
+ */
+class HeavyLoadTest {
+
+    private static final int SEEDS = 5;
+    private static final double SERVED_TOLERANCE = 0.05;
+    private static final double VALUE_TOLERANCE = 0.15;
+    private static final double MINIMUM_SERVED = 0.25;
+
+    private static List<HeavyLoadModel> run(HeavyLoads load, Function<Random, AdmissionRule> admission) {
+        List<HeavyLoadModel> runs = new ArrayList<>();
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            HeavyLoadModel model = new HeavyLoadModel(
+                    load.site(),
+                    seed,
+                    admission,
+                    (domain, random) -> new Balancer(domain, random)::choose,
+                    random -> (excess, remaining, now) -> Admission.retryDelayMillis(excess, remaining));
+            model.run();
+            runs.add(model);
+        }
+        return runs;
+    }
+
+    private static double mean(List<HeavyLoadModel> runs, Function<HeavyLoadModel, Double> figure) {
+        return runs.stream().mapToDouble(figure::apply).average().orElseThrow();
+    }
+
+    private static double served(List<HeavyLoadModel> runs, int index) {
+        return mean(runs, model -> model.outcomes.get(index).servedShare());
+    }
+
+    private static double value(List<HeavyLoadModel> runs, int index) {
+        return mean(runs, model -> model.outcomes.get(index).valueShare());
+    }
+
+    private static String describe(HeavyLoads load, List<HeavyLoadModel> runs) {
+        StringBuilder text = new StringBuilder(load + ": value "
+                + format(mean(runs, model -> model.total().valueShare())) + " served "
+                + format(mean(runs, model -> model.total().servedShare())));
+        for (int i = 0; i < load.site().loads().size(); i++) {
+            int priority = load.site().loads().get(i).requestClass().priority();
+            text.append("; priority " + priority + " served " + format(served(runs, i)) + " value "
+                    + format(value(runs, i)));
+        }
+        return text.toString();
+    }
+
+    private static String format(double share) {
+        return String.format(Locale.ROOT, "%.3f", share);
+    }
+
+    @ParameterizedTest
+    @EnumSource(HeavyLoads.class)
+    void moreUrgentRequestsAreServedAtLeastAsOften(HeavyLoads load) {
+        List<HeavyLoadModel> runs = run(load, random -> new AdmissionInForce());
+        String found = describe(load, runs);
+        int classes = load.site().loads().size();
+        for (int i = 0; i < classes; i++) {
+            for (int j = 0; j < classes; j++) {
+                RequestClass urgent = load.site().loads().get(i).requestClass();
+                if (urgent.moreUrgentThan(load.site().loads().get(j).requestClass())) {
+                    assertTrue(served(runs, i) >= served(runs, j) - SERVED_TOLERANCE, found);
+                    assertTrue(value(runs, i) >= value(runs, j) - VALUE_TOLERANCE, found);
+                }
+            }
+        }
+        for (HeavyLoadModel run : runs) {
+            double all = run.total().servedShare();
+            for (Outcome outcome : run.outcomes) {
+                assertTrue(outcome.servedShare() >= MINIMUM_SERVED * all, found);
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = HeavyLoads.class,
+            names = {"BURST_OF_.*", "HOT_KEYS.*", "BURST_AT_.*", "POOL_OF_12_INSTANCES"},
+            mode = EnumSource.Mode.MATCH_ANY)
+    void admissionByUrgencyEarnsMoreThanByTargetLatencyAlone(HeavyLoads load) {
+        List<HeavyLoadModel> byUrgency = run(load, random -> new AdmissionInForce());
+        List<HeavyLoadModel> byTarget = run(load, random -> new TargetLatencyAdmission());
+        assertTrue(
+                mean(byUrgency, model -> model.total().valueShare())
+                        > mean(byTarget, model -> model.total().valueShare()),
+                describe(load, byUrgency) + " instead of " + describe(load, byTarget));
+    }
+}
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/AttemptAdmission.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/AttemptAdmission.java
@@ -1,7 +1,10 @@
 package org.jackdawslip.internal.gateway;
 
 import org.jackdawslip.ErrorCode;
+import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.balance.AdmissionDecision;
 import org.jackdawslip.internal.balance.BackendTracker;
+import org.jackdawslip.internal.balance.RequestClass;
 import org.jackdawslip.internal.traffic.HostRoute;
 
 /**
@@ -13,13 +16,21 @@
 
     private final RequestComponents components;
     private final HostRoute route;
+    private final RequestClass requestClass;
     private final long deadlineAt;
     /** Latest time of the expected response at which the first attempt may wait in the queue of a server. */
     private final long queueUntil;
 
-    AttemptAdmission(RequestComponents components, HostRoute route, CallerRequest request) {
+    /**
+     * Creates the admission of a request.
+     *
+     * @param priority the priority of the client account, or of the route if the request has no account
+     */
+    AttemptAdmission(
+            RequestComponents components, HostRoute route, ServiceName service, int priority, CallerRequest request) {
         this.components = components;
         this.route = route;
+        this.requestClass = new RequestClass(service, priority, route.targetLatencyMillis(), route.timeoutMillis());
         Long requestedTimeoutMillis =
                 request.numericHeader(components.adapter().headers().remainingMillis());
         long callerTimeoutMillis = requestedTimeoutMillis == null ? route.timeoutMillis() : requestedTimeoutMillis;
@@ -27,7 +38,14 @@
                 request.receivedAt() + Math.min(callerTimeoutMillis, route.timeoutMillis()),
                 components.plannedStop().endsAt());
         queueUntil = request.receivedAt()
-                + components.routing().admission().responseTimeLimitMillis(route, callerTimeoutMillis);
+                + components
+                        .routing()
+                        .admission()
+                        .responseTimeLimitMillis(
+                                route.name(),
+                                requestClass,
+                                callerTimeoutMillis,
+                                components.clock().millis());
     }
 
     /** Returns the time after which the caller no longer waits or the instance has stopped. */
@@ -38,21 +56,32 @@
     /**
      * Returns why no attempt is started at the server, or null if one is started.
      *
-     * @param expectedMillis the expected time until a response, in milliseconds
+     * @param usualMillis usual response time of the route, in milliseconds
      * @param firstAttempt whether no server was chosen for the request before
      */
-    Refusal check(BackendTracker server, double expectedMillis, boolean firstAttempt, long now) {
-        long latestResponseAt = firstAttempt ? queueUntil : deadlineAt;
-        if (now + expectedMillis > latestResponseAt
+    Refusal check(BackendTracker server, double usualMillis, boolean firstAttempt, long now) {
+        double expectedMillis = server.expectedResponseMillis(usualMillis, now);
+        if (firstAttempt) {
+            AdmissionDecision decision =
+                    components.routing().admission().decide(requestClass, server, usualMillis, queueUntil - now, now);
+            components.metrics().countAdmission(requestClass, decision.reason());
+            if (!decision.admitted()) {
+                return queueFull(decision.reason(), expectedMillis, decision.excessMillis());
+            }
+        } else if (now + expectedMillis > deadlineAt
                 && server.estimatedRequests(now) >= server.backend().slots()) {
-            return new Refusal(
-                    ErrorCode.QUEUE_FULL,
-                    "expected time " + Math.round(expectedMillis) + " ms exceeds the useful time",
-                    now + expectedMillis - latestResponseAt);
+            return queueFull(AdmissionDecision.Reason.TOO_LATE, expectedMillis, now + expectedMillis - deadlineAt);
         }
         if (!components.plannedStop().admits(route.kind(), expectedMillis, now)) {
             return new Refusal(ErrorCode.STOPPING, "the instance stops before a response can be expected", 0);
         }
         return null;
     }
+
+    private static Refusal queueFull(AdmissionDecision.Reason reason, double expectedMillis, double excessMillis) {
+        String limit = reason == AdmissionDecision.Reason.ROOM_FOR_URGENT
+                ? " ms leaves no room for more urgent requests"
+                : " ms exceeds the useful time";
+        return new Refusal(ErrorCode.QUEUE_FULL, "expected time " + Math.round(expectedMillis) + limit, excessMillis);
+    }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewayMetrics.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewayMetrics.java
@@ -11,6 +11,8 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.jackdawslip.ErrorCode;
+import org.jackdawslip.internal.balance.AdmissionDecision;
+import org.jackdawslip.internal.balance.RequestClass;
 import org.jackdawslip.internal.traffic.HostRoute;
 
 /**
@@ -33,6 +35,9 @@
         Duration.ofMillis(3_200)
     };
 
+    /** Largest priority that is a label of its own; a configuration may contain any number. */
+    private static final int MAX_PRIORITY_LABEL = 9;
+
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<String, Counter> counters = new HashMap<>();
     private final Map<String, Timer> timers = new HashMap<>();
@@ -46,6 +51,19 @@
                 .increment();
     }
 
+    /** Counts a decision on the admission of a request to a server. */
+    void countAdmission(RequestClass requestClass, AdmissionDecision.Reason reason) {
+        String service = requestClass.service().value();
+        String priority = Integer.toString(Math.min(requestClass.priority(), MAX_PRIORITY_LABEL));
+        counters.computeIfAbsent("admission/" + service + '/' + priority + '/' + reason.label(), key -> Counter.builder(
+                                "jackdawslip.admissions")
+                        .tag("service", service)
+                        .tag("priority", priority)
+                        .tag("decision", reason.label())
+                        .register(registry))
+                .increment();
+    }
+
     /** Counts a local response. */
     void countLocalResponse(ErrorCode code) {
         countDecision("own-answer", code.name());
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -120,7 +120,7 @@
             refuse(ErrorCode.NO_BACKEND_SERVER, "the configuration does not describe the service");
             return;
         }
-        admission = new AttemptAdmission(components, route, request);
+        admission = new AttemptAdmission(components, route, service, route.priority(), request);
         deadlineAt = admission.deadlineAt();
         if (serviceConfig.keyed()) {
             Long slot = request.numericHeader(components.adapter().headers().key());
@@ -159,13 +159,13 @@
             }
             return;
         }
-        double expectedMillis = server.expectedResponseMillis(latency().meanMillis(), now);
-        Refusal refusal = admission.check(server, expectedMillis, lastAttempt == null, now);
+        double usualMillis = latency().meanMillis();
+        Refusal refusal = admission.check(server, usualMillis, lastAttempt == null, now);
         if (refusal != null) {
             refuse(refusal);
             return;
         }
-        startAttempt(server, expectedMillis);
+        startAttempt(server, server.expectedResponseMillis(usualMillis, now));
     }
 
     private LatencyEstimate latency() {
