Choose a server among a few random ones

Cause: each instance chooses the best of all servers by load data that all instances have and that is up to 150 ms old, so many instances choose the same server; its queue fills and it refuses. The random increase of 15 % hardly changes this.

Change: Balancer chooses among three random servers of the own failure domain and one of the others; fewer own ones are replaced by others.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/Balancer.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/Balancer.java
@@ -1,26 +1,32 @@
 package org.jackdawslip.internal.balance;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Random;
 import java.util.function.Predicate;
 
 import org.jackdawslip.FailureDomainId;
 
 /**
- * Chooses the backend server with the shortest expected response time, with a small preference for the
+ * Chooses the backend server with the shortest expected response time among a few random ones, most of them in the
  * failure domain of this instance.
  *
- * <p>Not thread-safe.
+ * <p>Load data is some time old, and all instances have nearly the same. If each of them chose the best of all servers,
+ * they would choose the same one until its load is known; with a few random candidates they do not, and a slow or
+ * full server is still avoided. Not thread-safe.
  */
 public final class Balancer {
 
     /** Share of the target latency that is added to the expected response time in another failure domain. */
     private static final double CROSS_DOMAIN_PENALTY_SHARE = 0.15;
     /**
-     * Largest random increase of an expected response time, as a share of it. Without jitter, instances with
-     * the same load data choose the same server.
+     * Candidates in the own failure domain. With two, responses of idle services take longer than the best server
+     * would need; with four or more, 63 instances choose the same servers.
      */
-    private static final double MAX_JITTER_SHARE = 0.15;
+    private static final int OWN_DOMAIN_CANDIDATES = 3;
+    /** Candidates in other failure domains, for the time in which the servers of the own one are full. */
+    private static final int OTHER_DOMAIN_CANDIDATES = 1;
 
     private final FailureDomainId ownDomain;
     private final Random random;
@@ -44,21 +50,44 @@
             double usualMillis,
             double targetMillis,
             long now) {
-        BackendTracker best = null;
-        double bestScore = Double.MAX_VALUE;
+        List<BackendTracker> ownDomainServers = new ArrayList<>();
+        List<BackendTracker> otherServers = new ArrayList<>();
         for (BackendTracker server : servers) {
             if (admitted.test(server)) {
-                double score =
-                        server.expectedResponseMillis(usualMillis, now) * (1 + MAX_JITTER_SHARE * random.nextDouble());
-                if (!server.backend().domain().equals(ownDomain)) {
-                    score += CROSS_DOMAIN_PENALTY_SHARE * targetMillis;
-                }
-                if (score < bestScore) {
-                    best = server;
-                    bestScore = score;
-                }
+                boolean own = server.backend().domain().equals(ownDomain);
+                (own ? ownDomainServers : otherServers).add(server);
+            }
+        }
+        int ownCandidates = Math.min(OWN_DOMAIN_CANDIDATES, ownDomainServers.size());
+        int otherCandidates = OTHER_DOMAIN_CANDIDATES + OWN_DOMAIN_CANDIDATES - ownCandidates;
+        BackendTracker best = null;
+        double bestMillis = Double.MAX_VALUE;
+        for (int i = 0; i < ownCandidates; i++) {
+            BackendTracker server = takeRandom(ownDomainServers);
+            double millis = server.expectedResponseMillis(usualMillis, now);
+            if (millis < bestMillis) {
+                best = server;
+                bestMillis = millis;
+            }
+        }
+        for (int i = 0; i < otherCandidates && !otherServers.isEmpty(); i++) {
+            BackendTracker server = takeRandom(otherServers);
+            double millis = server.expectedResponseMillis(usualMillis, now) + CROSS_DOMAIN_PENALTY_SHARE * targetMillis;
+            if (millis < bestMillis) {
+                best = server;
+                bestMillis = millis;
             }
         }
         return best;
     }
+
+    /** Removes a random server from the list and returns it. */
+    private BackendTracker takeRandom(List<BackendTracker> servers) {
+        int index = random.nextInt(servers.size());
+        BackendTracker server = servers.get(index);
+        int last = servers.size() - 1;
+        servers.set(index, servers.get(last));
+        servers.remove(last);
+        return server;
+    }
 }
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/HeavyLoads.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/HeavyLoads.java
@@ -36,10 +36,12 @@
     /** A burst of all classes on a service without keys, with a few, the usual and many instances. */
     POOL_OF_12_INSTANCES(pool(12, 22, 3, tip().burst(2.6), browse().burst(2.6))),
     POOL_OF_63_INSTANCES(pool(63, 22, 3, tip().burst(2.6), browse().burst(2.6))),
+    POOL_OF_300_INSTANCES(pool(300, 22, 3, tip().burst(2.6), browse().burst(2.6))),
     /** A burst of the less urgent class on a service without keys. */
     POOL_WITH_A_BURST_OF_THE_LEAST_URGENT(pool(63, 22, 3, tip().times(2).burst(2.6), browse().times(1.5))),
     /** A service of few servers under many instances. */
     FEW_SERVERS_OF_63_INSTANCES(pool(63, 6, 2, tip().times(0.35), browse().times(0.35))),
+    FEW_SERVERS_OF_300_INSTANCES(pool(300, 6, 2, tip().times(0.35), browse().times(0.35))),
     /** A usual day without a hot range or a burst. */
     QUIET(keyed(63, 104, 0, 1, page(), coin()));
 
