Spread the return of callers whose servers are away

Cause: callers that are refused because no server owns their key, or none is there, are all told the longest delay, so callers that returned together after a loss of power return together once more.

Change: RetryDelay chooses the delay. For an unknown time it is random in the second half of the longest delay; behind a queue it is the excess time, as before.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/Admission.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/Admission.java
@@ -38,10 +38,6 @@
      * operators accept is a quarter.
      */
     private static final double GUARANTEED_SHARE = 0.6;
-    /** Shortest retry delay of a refused caller, in milliseconds; about the service time of one request. */
-    private static final long MIN_RETRY_DELAY_MILLIS = 80;
-    /** Longest retry delay as a share of the remaining time; callers honour up to a third of it. */
-    private static final double MAX_RETRY_DELAY_SHARE = 0.3;
 
     private final Map<String, Long> longestRemainingByRoute = new HashMap<>();
     private final Map<ServiceName, ServiceDemand> demandByService = new HashMap<>();
@@ -113,15 +109,4 @@
     private ServiceDemand demand(ServiceName service) {
         return demandByService.computeIfAbsent(service, name -> new ServiceDemand());
     }
-
-    /**
-     * Returns the delay after which a refused caller should retry, in milliseconds.
-     *
-     * @param excessMillis by how much the expected response time exceeds the admission limit, in milliseconds
-     * @param remainingMillis remaining time until the timeout of the caller, in milliseconds
-     */
-    public static long retryDelayMillis(double excessMillis, long remainingMillis) {
-        double longest = Math.max(MIN_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_SHARE * remainingMillis);
-        return Math.round(Math.max(MIN_RETRY_DELAY_MILLIS, Math.min(longest, excessMillis)));
-    }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -15,7 +15,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jackdawslip.ErrorCode;
 import org.jackdawslip.ServiceName;
-import org.jackdawslip.internal.balance.Admission;
 import org.jackdawslip.internal.balance.BackendTracker;
 import org.jackdawslip.internal.balance.LatencyEstimate;
 import org.jackdawslip.internal.balance.LoadReport;
@@ -363,7 +362,7 @@
         if (route != null) {
             components.metrics().recordResponse(route, now() - request.receivedAt(), status);
         }
-        long retryAfterMillis = Admission.retryDelayMillis(excessMillis, Math.max(0, deadlineAt - now()));
+        long retryAfterMillis = components.routing().retryDelay().millis(excessMillis, Math.max(0, deadlineAt - now()));
         LocalResponse.send(
                 responseWriter,
                 components.adapter().headers(),
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
@@ -13,6 +13,7 @@
 import org.jackdawslip.internal.balance.Admission;
 import org.jackdawslip.internal.balance.LatencyEstimate;
 import org.jackdawslip.internal.balance.RetryBudget;
+import org.jackdawslip.internal.balance.RetryDelay;
 import org.jackdawslip.internal.balance.WarmupGate;
 import org.jackdawslip.internal.keyspace.OwnerView;
 import org.jackdawslip.internal.logging.EventLog;
@@ -45,6 +46,7 @@
     private final Map<String, LatencyEstimate> latencyEstimates = new HashMap<>();
     private final Map<ServiceName, OwnerView> ownerViews = new HashMap<>();
     private final Admission admission = new Admission();
+    private final RetryDelay retryDelay;
     /** Routes whose unknown kind has been logged. */
     private final Set<String> routesOfUnknownKind = new HashSet<>();
 
@@ -57,6 +59,7 @@
         this.settings = settings;
         this.log = log;
         this.splitter = new TrafficSplitter(random);
+        this.retryDelay = new RetryDelay(random);
         this.membershipStatus = membershipStatus;
         this.instances = Set.of(settings.instance());
         this.warmupGate = new WarmupGate(settings.instance(), membershipStatus::isEstablished);
@@ -126,6 +129,10 @@
         return admission;
     }
 
+    RetryDelay retryDelay() {
+        return retryDelay;
+    }
+
     /** Returns the live instances, this one included. */
     Set<InstanceId> instances() {
         return instances;
