Limit the bytes in transit to one server over all instances

Cause: nothing limits the bytes of the requests that a server holds and of the responses that its callers do not read, and a server ends if they exceed its memory.

Change: TransitLimit gives each instance its share of 128 MB for each server, by the number of live instances, and at least one request. Another server is selected; if there is none, the request is refused as not run. The length of a response that is passed on in parts counts from its head to its end. The property jackdawslip.serverTransitBytes replaces the default. Refusals and the bytes in transit are metrics.

TransitLimitSessionTest: servers with unread responses receive no request.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/BackendTracker.java
@@ -64,6 +64,7 @@
     private final ArrayDeque<Long> recentAttemptTimes = new ArrayDeque<>();
     private int inFlight;
     private int peersInFlight;
+    private long bytesInTransit;
     /** Mean service time relative to the usual one of the route. */
     private double relativeServiceTime = 1;
 
@@ -314,6 +315,16 @@
         return inFlight;
     }
 
+    /** Adds the bytes of a request or of an unread response that the server holds; negative if they are released. */
+    public void addBytesInTransit(long bytes) {
+        bytesInTransit += bytes;
+    }
+
+    /** Returns the bytes of requests and unread responses of this instance that the server holds. */
+    public long bytesInTransit() {
+        return bytesInTransit;
+    }
+
     /** Returns the estimated number of requests of all instances at the server, running or waiting. */
     public double estimatedRequests(long now) {
         double knownInFlight = inFlight + peersInFlight;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/AttemptAdmission.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/AttemptAdmission.java
@@ -59,7 +59,13 @@
      * @param usualMillis usual response time of the route, in milliseconds
      * @param firstAttempt whether no server was chosen for the request before
      */
-    Refusal check(BackendTracker server, double usualMillis, boolean firstAttempt, long now) {
+    Refusal check(ServerSelector selector, BackendTracker server, double usualMillis, boolean firstAttempt, long now) {
+        if (!selector.hasRoom(server)) {
+            components
+                    .metrics()
+                    .countDecision("transit-limit", requestClass.service().value());
+            return new Refusal(ErrorCode.QUEUE_FULL, "the backend server holds as many bytes as it may", usualMillis);
+        }
         double expectedMillis = server.expectedResponseMillis(usualMillis, now);
         if (firstAttempt) {
             AdmissionDecision decision =
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/BackendDirectory.java
@@ -213,6 +213,13 @@
         return responseMemory.reservedBytes();
     }
 
+    /** Returns the bytes of requests and unread responses of this instance that the servers hold. */
+    long transitBytes() {
+        return byEntry.values().stream()
+                .mapToLong(target -> target.tracker.bytesInTransit())
+                .sum();
+    }
+
     /** Logs a change between cold and warm, and how many requests were sent in the second before the change. */
     private void logIfColdChanged(Target target, boolean wasCold, String source, long now) {
         boolean cold = target.tracker.cold(now);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerRequest.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerRequest.java
@@ -49,6 +49,11 @@
         }
     }
 
+    /** Returns the bytes that a backend server holds for the request, without its headers, which are small. */
+    long transitBytes() {
+        return body.length;
+    }
+
     /** Returns the URI without query and fragment. */
     String path() {
         int end = 0;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -205,6 +205,7 @@
                 () -> routing.config() == null ? 0 : routing.config().version());
         metrics.registerGauge("member.established", () -> established ? 1 : 0);
         metrics.registerGauge("responses.buffered.bytes", directory::bufferedResponseBytes);
+        metrics.registerGauge("servers.transit.bytes", directory::transitBytes);
         metrics.registerGauge("store.lost", () -> view.storeLost() ? 1 : 0);
         metrics.registerGauge("store.direct", () -> reader.direct() ? 1 : 0);
         metrics.registerGauge("store.answers.through.peers", reader::relayedResponses);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -131,7 +131,7 @@
             components.peers().recordKeyUse(service, keySlot);
         }
         requestLog.setContext(route, service, keySlot);
-        serverSelector = new ServerSelector(components, route, serviceConfig, keySlot);
+        serverSelector = new ServerSelector(components, route, serviceConfig, keySlot, request.transitBytes());
         components.routing().retryBudget(service).recordRequest(now());
         deadlineTimer = schedule(this::handleDeadline, deadlineAt - now());
         attemptNextServer();
@@ -159,7 +159,7 @@
             return;
         }
         double usualMillis = latency().meanMillis();
-        Refusal refusal = admission.check(server, usualMillis, lastAttempt == null, now);
+        Refusal refusal = admission.check(serverSelector, server, usualMillis, lastAttempt == null, now);
         if (refusal != null) {
             refuse(refusal);
             return;
@@ -202,7 +202,9 @@
         }
         BackendTracker server = serverSelector.selectServer();
         long now = now();
-        if (server == null || server.estimatedRequests(now) >= server.backend().slots()) {
+        if (server == null
+                || server.estimatedRequests(now) >= server.backend().slots()
+                || !serverSelector.hasRoom(server)) {
             return;
         }
         double expectedMillis = server.expectedResponseMillis(latency().meanMillis(), now);
@@ -451,6 +453,8 @@
 
         private ConnectionPool.Exchange exchange;
         private boolean open = true;
+        /** Bytes of the request and of an unread response that the server holds. */
+        private long transitBytes;
 
         Attempt(BackendDirectory.Target target, FullHttpRequest backendRequest, long sentAt, double expectedMillis) {
             this.target = target;
@@ -460,6 +464,7 @@
             this.estimatedRequestsAtStart = Math.round(10 * target.tracker.estimatedRequests(sentAt)) / 10.0;
             this.queued = estimatedRequestsAtStart >= target.backend().slots();
             this.failures = new AttemptFailures(target.tracker, keySlot >= 0, requestLog, this::summary);
+            addTransitBytes(request.transitBytes());
         }
 
         RequestLog.AttemptSummary summary() {
@@ -477,8 +482,14 @@
             exchange.abort();
         }
 
+        private void addTransitBytes(long bytes) {
+            transitBytes += bytes;
+            target.tracker.addBytesInTransit(bytes);
+        }
+
         private void close() {
             open = false;
+            addTransitBytes(-transitBytes);
             RequestForwarder.this.openAttempts.remove(this);
             components.peers().recordInFlightChange(target);
         }
@@ -568,6 +579,8 @@
             finish();
             streamedResponse = new StreamedResponse(exchange, head, this);
             deadlineTimer = schedule(streamedResponse::cutAtDeadline, deadlineAt - now() + STREAM_GRACE_MILLIS);
+            // The server has read the request; until the caller has read the response, it holds the rest of that.
+            addTransitBytes(Math.max(0, contentLength) - transitBytes);
             streamedResponse.start(responseWriter, contentLength);
             return streamedResponse;
         }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
@@ -14,6 +14,7 @@
 import org.jackdawslip.internal.balance.LatencyEstimate;
 import org.jackdawslip.internal.balance.RetryBudget;
 import org.jackdawslip.internal.balance.RetryDelay;
+import org.jackdawslip.internal.balance.TransitLimit;
 import org.jackdawslip.internal.balance.WarmupGate;
 import org.jackdawslip.internal.keyspace.OwnerView;
 import org.jackdawslip.internal.logging.EventLog;
@@ -39,6 +40,9 @@
     /** Part of the target latency that is assumed as response time until the first response arrives. */
     private static final double INITIAL_LATENCY_SHARE = 0.33;
 
+    /** Property for the bytes in transit to one backend server, for all instances together. */
+    private static final String TRANSIT_LIMIT_PROPERTY = "jackdawslip.serverTransitBytes";
+
     private final GatewaySettings settings;
     private final EventLog log;
     private final TrafficSplitter splitter;
@@ -47,6 +51,7 @@
     private final Map<ServiceName, OwnerView> ownerViews = new HashMap<>();
     private final Admission admission = new Admission();
     private final RetryDelay retryDelay;
+    private final TransitLimit transitLimit;
     /** Routes whose unknown kind has been logged. */
     private final Set<String> routesOfUnknownKind = new HashSet<>();
 
@@ -60,6 +65,9 @@
         this.log = log;
         this.splitter = new TrafficSplitter(random);
         this.retryDelay = new RetryDelay(random);
+        this.transitLimit = new TransitLimit(
+                ProcessProperties.positiveLong(TRANSIT_LIMIT_PROPERTY, TransitLimit.DEFAULT_BYTES),
+                () -> instances.size());
         this.membershipStatus = membershipStatus;
         this.instances = Set.of(settings.instance());
         this.warmupGate = new WarmupGate(settings.instance(), membershipStatus::isEstablished);
@@ -129,6 +137,10 @@
         return admission;
     }
 
+    TransitLimit transitLimit() {
+        return transitLimit;
+    }
+
     RetryDelay retryDelay() {
         return retryDelay;
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerSelector.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ServerSelector.java
@@ -42,6 +42,7 @@
     private final HostRoute route;
     private final ServiceConfig service;
     private final int keySlot;
+    private final long requestBytes;
     private final Set<BackendServerId> excludedServers = new HashSet<>();
     private KeySegment lastSegment;
     private KeySegment rejectedSegment;
@@ -49,11 +50,23 @@
     /** Time when the wait for an owner began, or -1. */
     private long waitStartedAt = -1;
 
-    ServerSelector(RequestComponents components, HostRoute route, ServiceConfig service, int keySlot) {
+    /**
+     * Creates a selector.
+     *
+     * @param requestBytes the bytes that a server holds for the request
+     */
+    ServerSelector(
+            RequestComponents components, HostRoute route, ServiceConfig service, int keySlot, long requestBytes) {
         this.components = components;
         this.route = route;
         this.service = service;
         this.keySlot = keySlot;
+        this.requestBytes = requestBytes;
+    }
+
+    /** Returns whether the bytes in transit to the server leave room for the request. */
+    boolean hasRoom(BackendTracker server) {
+        return components.routing().transitLimit().admits(server, requestBytes);
     }
 
     boolean keyed() {
@@ -184,11 +197,19 @@
         return tracker.rejectsRequests() && tracker.paused(now) || tracker.repeatedlyUnreachable(now);
     }
 
-    /** Selects a server without an earlier attempt; a paused server is selected only if there is no other. */
+    /**
+     * Selects a server without an earlier attempt; one without room for the request, or one that is paused, is selected
+     * only if there is no other.
+     */
     private BackendTracker selectAnyServer() {
         long now = components.clock().millis();
-        BackendTracker active = selectBest(server -> !server.paused(now) && isCandidate(server, now), now);
-        return active != null ? active : selectBest(server -> isCandidate(server, now), now);
+        Predicate<BackendTracker> candidate = server -> isCandidate(server, now);
+        Predicate<BackendTracker> withRoom = candidate.and(this::hasRoom);
+        BackendTracker server = selectBest(withRoom.and(each -> !each.paused(now)), now);
+        if (server == null) {
+            server = selectBest(withRoom, now);
+        }
+        return server != null ? server : selectBest(candidate, now);
     }
 
     private BackendTracker selectBest(Predicate<BackendTracker> admitted, long now) {
