--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/TransitLimit.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/TransitLimit.java
@@ -15,9 +15,9 @@
 
     /**
      * Default for all instances together. A server holds about 15 requests of up to 100 KB, so ordinary requests do not
-     * reach the share of one of 80 instances.
+     * reach the share of one of 100 instances.
      */
-    public static final long DEFAULT_BYTES = 128L * 1024 * 1024;
+    public static final long DEFAULT_BYTES = 160L * 1024 * 1024;
 
     private final long limitBytes;
     private final IntSupplier instances;
