Merge the admission by urgency and the choice of servers

Cause: less urgent requests with a longer target latency filled the queues of the servers, and many instances chose the same server. Requests of client accounts take the priority of the account before that of the route.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -251,6 +251,7 @@
         metrics.registerGauge("accounts.config.age.millis", freshness::ageMillis);
         metrics.registerGauge("member.established", () -> established ? 1 : 0);
         metrics.registerGauge("responses.buffered.bytes", directory::bufferedResponseBytes);
+        metrics.registerGauge("servers.transit.bytes", directory::transitBytes);
         metrics.registerGauge("store.lost", () -> view.storeLost() ? 1 : 0);
         metrics.registerGauge("store.direct", () -> reader.direct() ? 1 : 0);
         metrics.registerGauge("store.answers.through.peers", reader::relayedResponses);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestAccount.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestAccount.java
@@ -23,6 +23,9 @@
     /** Delay of a caller whose key changed its account; the configuration in force decides on its next request. */
     private static final long CHANGED_RETRY_MILLIS = 0;
 
+    /** Priorities of routes that are told apart within one priority of accounts. */
+    private static final int ROUTE_PRIORITIES = 100;
+
     private final AccountGate gate;
     private final CallerRequest request;
     private final Consumer<AccountGate.Refusal> onRefusal;
@@ -58,6 +61,13 @@
         return account;
     }
 
+    /** Returns the priority of the request: that of its account first, then that of its route. */
+    int priority() {
+        return account == null
+                ? route.priority()
+                : account.priority() * ROUTE_PRIORITIES + Math.min(route.priority(), ROUTE_PRIORITIES - 1);
+    }
+
     /** Authenticates the request on a route of a configuration, or refuses it; returns whether it may continue. */
     boolean authenticate(RoutingConfig newConfig, HostRoute newRoute) {
         config = newConfig;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -17,7 +17,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jackdawslip.ErrorCode;
 import org.jackdawslip.ServiceName;
-import org.jackdawslip.internal.balance.Admission;
 import org.jackdawslip.internal.balance.BackendTracker;
 import org.jackdawslip.internal.balance.LatencyEstimate;
 import org.jackdawslip.internal.balance.LoadReport;
@@ -53,12 +52,6 @@
     private static final double MIN_HEDGE_DELAY_SHARE = 0.45;
     /** A response is overdue after this multiple of the expected response time. */
     private static final double OVERDUE_FACTOR = 2;
-    /**
-     * Value of {@link #excessMillis} for a key without an owner. The time until the next grant is unknown, so the
-     * caller receives the longest retry delay.
-     */
-    private static final double MAX_EXCESS_MILLIS = Double.MAX_VALUE;
-
     /** Slowdown that a server reports if no other workload on its host delays it, in percent. */
     private static final double USUAL_SLOWDOWN_PERCENT = 100;
     /** Refused attempts after which a request for a key fails. */
@@ -83,9 +76,8 @@
     private HostRoute route;
     private ServiceName service;
     private ServerSelector serverSelector;
+    private AttemptAdmission admission;
     private long deadlineAt;
-    /** Latest time of the expected response at which the first attempt may wait in the queue of a server. */
-    private long queueUntil;
     /** Time by which the expected response exceeds its limit; determines the retry delay for the caller. */
     private double excessMillis;
     /** Retry delay for the caller that a decision on its client account requires; 0 if there is none. */
@@ -138,12 +130,8 @@
             refuse(ErrorCode.NO_BACKEND_SERVER, "the configuration does not describe the service");
             return;
         }
-        Long requestedTimeoutMillis =
-                request.numericHeader(components.adapter().headers().remainingMillis());
-        long callerTimeoutMillis = requestedTimeoutMillis == null ? route.timeoutMillis() : requestedTimeoutMillis;
-        deadlineAt = request.receivedAt() + Math.min(callerTimeoutMillis, route.timeoutMillis());
-        queueUntil = request.receivedAt()
-                + components.routing().admission().responseTimeLimitMillis(route, callerTimeoutMillis);
+        admission = new AttemptAdmission(components, route, service, requestAccount.priority(), request);
+        deadlineAt = admission.deadlineAt();
         if (serviceConfig.keyed()) {
             Long slot = request.numericHeader(components.adapter().headers().key());
             if (slot == null || slot < 0 || slot >= KeySegment.SLOTS) {
@@ -154,8 +142,7 @@
             components.peers().recordKeyUse(service, keySlot);
         }
         requestLog.setContext(route, service, keySlot);
-        serverSelector = new ServerSelector(components, route, serviceConfig, keySlot);
-        deadlineAt = Math.min(deadlineAt, components.plannedStop().endsAt());
+        serverSelector = new ServerSelector(components, route, serviceConfig, keySlot, request.transitBytes());
         deadlineTimer = schedule(this::handleDeadline, deadlineAt - now());
         requestAccount.requestQuota(() -> finished, this::startAdmitted);
     }
@@ -185,37 +172,17 @@
             if (keySlot >= 0 && serverSelector.mayWaitForOwner(now)) {
                 ownerPollTimer = schedule(this::attemptNextServer, OWNER_POLL_INTERVAL_MILLIS);
             } else {
-                refuseWithoutServer();
+                refuse(Refusal.withoutServer(serverSelector));
             }
             return;
         }
-        double expectedMillis = server.expectedResponseMillis(latency().meanMillis(), now);
-        long latestResponseAt = lastAttempt == null ? queueUntil : deadlineAt;
-        if (now + expectedMillis > latestResponseAt
-                && server.estimatedRequests(now) >= server.backend().slots()) {
-            excessMillis = now + expectedMillis - latestResponseAt;
-            refuse(ErrorCode.QUEUE_FULL, "expected time " + Math.round(expectedMillis) + " ms exceeds the useful time");
-            return;
-        }
-        if (!components.plannedStop().admits(route.kind(), expectedMillis, now)) {
-            refuse(ErrorCode.STOPPING, "the instance stops before a response can be expected");
+        double usualMillis = latency().meanMillis();
+        Refusal refusal = admission.check(serverSelector, server, usualMillis, lastAttempt == null, now);
+        if (refusal != null) {
+            refuse(refusal);
             return;
         }
-        startAttempt(server, expectedMillis);
-    }
-
-    private void refuseWithoutServer() {
-        long pauseMillis = serverSelector.requestedPauseMillis();
-        if (pauseMillis > 0) {
-            excessMillis = pauseMillis;
-            refuse(ErrorCode.NO_BACKEND_SERVER, "every server that can take it asked for a pause");
-        } else if (keySlot >= 0) {
-            excessMillis = MAX_EXCESS_MILLIS;
-            refuse(ErrorCode.NO_OWNER, "no server can take it");
-        } else {
-            excessMillis = 0;
-            refuse(ErrorCode.NO_BACKEND_SERVER, "no server can take it");
-        }
+        startAttempt(server, server.expectedResponseMillis(usualMillis, now));
     }
 
     private LatencyEstimate latency() {
@@ -253,7 +220,9 @@
         }
         BackendTracker server = serverSelector.selectServer();
         long now = now();
-        if (server == null || server.estimatedRequests(now) >= server.backend().slots()) {
+        if (server == null
+                || server.estimatedRequests(now) >= server.backend().slots()
+                || !serverSelector.hasRoom(server)) {
             return;
         }
         double expectedMillis = server.expectedResponseMillis(latency().meanMillis(), now);
@@ -400,6 +369,11 @@
         refuse(refusal.code(), refusal.reason());
     }
 
+    private void refuse(Refusal refusal) {
+        excessMillis = refusal.excessMillis();
+        refuse(refusal.code(), refusal.reason());
+    }
+
     private void sendLocalResponse(int status, ErrorCode code, String reason) {
         finish();
         RequestLog.AttemptSummary lastSummary =
@@ -411,7 +385,7 @@
         }
         long retryAfterMillis = requestedDelayMillis > 0
                 ? requestedDelayMillis
-                : Admission.retryDelayMillis(excessMillis, Math.max(0, deadlineAt - now()));
+                : components.routing().retryDelay().millis(excessMillis, Math.max(0, deadlineAt - now()));
         HeaderNames names = components.adapter().headers();
         LocalResponse.send(responseWriter, names, requestId, status, code + ": " + reason, retryAfterMillis);
     }
@@ -487,6 +461,8 @@
         private final AttemptFailures failures;
         private ConnectionPool.Exchange exchange;
         private boolean open = true;
+        /** Bytes of the request and of an unread response that the server holds. */
+        private long transitBytes;
 
         Attempt(BackendDirectory.Target target, FullHttpRequest backendRequest, long sentAt, double expectedMillis) {
             this.target = target;
@@ -496,6 +472,7 @@
             this.estimatedRequestsAtStart = Math.round(10 * target.tracker.estimatedRequests(sentAt)) / 10.0;
             this.queued = estimatedRequestsAtStart >= target.backend().slots();
             this.failures = new AttemptFailures(target.tracker, keySlot >= 0, requestLog, this::summary);
+            addTransitBytes(request.transitBytes());
         }
 
         RequestLog.AttemptSummary summary() {
@@ -513,8 +490,14 @@
             exchange.abort();
         }
 
+        private void addTransitBytes(long bytes) {
+            transitBytes += bytes;
+            target.tracker.addBytesInTransit(bytes);
+        }
+
         private void close() {
             open = false;
+            addTransitBytes(-transitBytes);
             RequestForwarder.this.openAttempts.remove(this);
             components.peers().recordInFlightChange(target);
         }
@@ -595,6 +578,8 @@
             finish();
             streamedResponse = new StreamedResponse(exchange, head, this);
             deadlineTimer = schedule(streamedResponse::cutAtDeadline, deadlineAt - now() + STREAM_GRACE_MILLIS);
+            // The server has read the request; until the caller has read the response, it holds the rest of that.
+            addTransitBytes(Math.max(0, contentLength) - transitBytes);
             streamedResponse.start(responseWriter, contentLength);
             return streamedResponse;
         }
