Hand over quotas in a planned stop and bound the requests of overloaded accounts

Cause: after a planned stop the accounts of an instance had no owner for about 3.3 s. An account over its limit led to a request for tokens for nearly each request of a caller, because its tokens return within milliseconds. An instance that the store refuses, and that is therefore not listed, received no replies.

Change: an instance that stops says so in a datagram, and its successors start at once with empty buckets. After a refusal an instance refuses for 100 ms without asking. Replies go to the address of the request. Event quota-owner-silent.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/membership/MembershipStatus.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/membership/MembershipStatus.java
@@ -131,13 +131,8 @@
      */
     public boolean mayHoldExclusiveRole() {
         long now = clock.millis();
-        // Every guard is asked, so that each one detects a jump of the clocks.
-        boolean listed = listingLease.isValid();
-        boolean recent = recentView.isValid();
-        boolean continuous = viewContinuity.isValid();
-        return listed
-                && recent
-                && continuous
+        return listingLease.isValid()
+                && recentView.isValid()
                 && listedAtMillis != NOT_LISTED
                 && now - listedAtMillis >= EXCLUSIVE_MIN_LISTED_MILLIS
                 && now - continuousSince >= EXCLUSIVE_VIEW_AGE_MILLIS;
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/quota/QuotaMembers.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/quota/QuotaMembers.java
@@ -67,8 +67,10 @@
         refresh(now);
         members.forEach((instance, member) -> {
             if (member.live && !live.contains(instance)) {
+                if (member.settled(now)) {
+                    member.departedAt = now + MembershipStatus.EXCLUSIVE_VIEW_AGE_MILLIS;
+                }
                 member.live = false;
-                member.departedAt = now + MembershipStatus.EXCLUSIVE_VIEW_AGE_MILLIS;
             }
         });
         for (InstanceId instance : live) {
@@ -85,6 +87,21 @@
         recordChange(now);
     }
 
+    /**
+     * Records that another instance has given up its accounts for good. A later incarnation of it is the owner no
+     * sooner than one that is listed for the first time now.
+     */
+    public void recordRelease(InstanceId instance, long now) {
+        refresh(now);
+        Member member = members.get(instance);
+        if (member != null && member.mayOwn(now)) {
+            member.settledAt = now + MembershipStatus.EXCLUSIVE_JOIN_DELAY_MILLIS;
+            member.departedAt = Long.MIN_VALUE;
+            lastDepartureAt = now;
+            recordChange(now);
+        }
+    }
+
     /**
      * Applies what has changed by the passage of time.
      *
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/quota/QuotaOwner.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/quota/QuotaOwner.java
@@ -30,6 +30,7 @@
     private long tenure = Long.MIN_VALUE;
     private long ownerSince;
     private boolean owning;
+    private boolean released;
     private long memberChanges;
     private long granted;
     private long refused;
@@ -66,12 +67,19 @@
         }
     }
 
+    /** Ends the ownership of all accounts for good, because this instance stops. */
+    public void release() {
+        released = true;
+        buckets.clear();
+    }
+
     /** Returns the reply to a request for tokens. */
     public QuotaReply reply(QuotaRequest request) {
         refresh();
         long now = clock.millis();
         AccountName account = request.account();
-        if (!status.mayHoldExclusiveRole()
+        if (released
+                || !status.mayHoldExclusiveRole()
                 || !members.isFirst(account, now)
                 || !request.quota().limited()) {
             return QuotaReply.notOwner(request.number(), NOT_OWNER_RETRY_MILLIS);
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/quota/QuotaRequester.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/quota/QuotaRequester.java
@@ -37,10 +37,11 @@
     /** Time for which requests are refused at once after the owner did not reply, in milliseconds. */
     private static final long UNREACHABLE_MILLIS = 200;
     /**
-     * Longest time for which requests are refused without asking the owner again, in milliseconds. It limits the
-     * datagrams of an account over its limit to 10 a second from each instance.
+     * Time after a refusal for which requests are refused without asking the owner again, in milliseconds. It limits
+     * the refused requests for tokens of one account to 10 a second from each instance. Tokens that accrue in this time
+     * are granted later.
      */
-    private static final long MAX_BLOCKED_MILLIS = 100;
+    static final long BLOCKED_MILLIS = 100;
     /** Retry delay if the owner did not reply or is not known. */
     private static final long UNREACHABLE_RETRY_MILLIS = 300;
     /** Part of a second for whose requests tokens are requested in advance. */
@@ -56,6 +57,9 @@
     public interface Sender {
         /** Sends the requests, which may get lost. */
         void send(InstanceId owner, List<QuotaRequest> requests);
+
+        /** The instance did not reply in time, so requests of callers were refused. */
+        default void recordNoReply(InstanceId owner, int refused) {}
     }
 
     private final MonotonicClock clock;
@@ -149,8 +153,8 @@
 
         void block(QuotaDecision.Outcome outcome, long retryMillis, long now) {
             blockedOutcome = outcome;
-            retryAt = now + retryMillis;
-            blockedUntil = now + Math.min(retryMillis, MAX_BLOCKED_MILLIS);
+            blockedUntil = now + BLOCKED_MILLIS;
+            retryAt = Math.max(now + retryMillis, blockedUntil);
         }
     }
 
@@ -173,7 +177,7 @@
         } else if (self.equals(owner)) {
             whenDecided.accept(decideLocally(state));
         } else if (now < state.blockedUntil) {
-            whenDecided.accept(new QuotaDecision(state.blockedOutcome, Math.max(1, state.retryAt - now)));
+            whenDecided.accept(new QuotaDecision(state.blockedOutcome, state.retryAt - now));
         } else if (owner == null || now < unreachableUntil.getOrDefault(owner, now) || waiting >= MAX_WAITING) {
             whenDecided.accept(unknown());
         } else {
@@ -275,9 +279,8 @@
         asks.remove(reply.number());
         unreachableUntil.remove(replier);
         AccountState state = ask.account;
-        if (state.newestAsk == ask) {
-            state.newestAsk = null;
-        }
+        // A reply to an earlier request than the newest one decides as well, so no further reply is awaited.
+        state.newestAsk = null;
         state.attempts = 0;
         if (reply.granted() > 0) {
             state.tokens.add(new Tokens(ask.askedAt, reply.granted()));
@@ -297,7 +300,7 @@
 
     private void refuse(AccountState state, QuotaDecision.Outcome outcome, long retryMillis, long now) {
         state.block(outcome, retryMillis, now);
-        decideAll(state, new QuotaDecision(outcome, retryMillis));
+        decideAll(state, new QuotaDecision(outcome, state.retryAt - now));
     }
 
     /**
@@ -310,16 +313,17 @@
         unreachableUntil.values().removeIf(until -> now >= until);
         for (AccountState state : List.copyOf(accounts.values())) {
             Ask ask = state.newestAsk;
-            boolean expired = false;
+            int expired = 0;
             while (!state.waiters.isEmpty() && now - state.waiters.peekFirst().arrivedAt >= MAX_WAIT_MILLIS) {
                 pollWaiter(state).whenDecided.accept(unknown());
-                expired = true;
+                expired++;
             }
             if (ask == null) {
                 continue;
             }
-            if (expired) {
+            if (expired > 0) {
                 unreachableUntil.put(ask.owner, now + UNREACHABLE_MILLIS);
+                sender.recordNoReply(ask.owner, expired + state.waiters.size());
                 state.newestAsk = null;
                 state.attempts = 0;
                 decideAll(state, unknown());
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/quota/QuotaOwnerTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/quota/QuotaOwnerTest.java
@@ -122,6 +122,32 @@
         assertEquals(1, ask(100, 0).granted());
     }
 
+    /** A planned stop must not leave the accounts without an owner for seconds. */
+    @Test
+    void ownershipBeginsAtOnceAfterARelease() {
+        status.recordListing(monotonic, LEASE_MILLIS);
+        status.recordView(monotonic);
+        list(SELF, PEER);
+        advance(20_000);
+        members.recordRelease(PEER, monotonic);
+        assertTrue(ask(1, 0).owner());
+        assertEquals(0, ask(1, 0).granted(), "the bucket starts empty");
+        advance(500);
+        list(SELF);
+        assertEquals(5, ask(100, 0).granted());
+        list(SELF, PEER);
+        advance(MembershipStatus.EXCLUSIVE_JOIN_DELAY_MILLIS);
+        assertFalse(ask(1, 0).owner());
+    }
+
+    /** The instance that stops may still be listed for a while. */
+    @Test
+    void releasedInstanceOwnsNothingAnyMore() {
+        becomeOwner();
+        owner.release();
+        assertFalse(ask(1, 0).owner());
+    }
+
     @Test
     void bucketIsDroppedWhenAnotherInstanceOwnedTheAccount() {
         becomeOwner();
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/quota/SimulatedFleet.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/quota/SimulatedFleet.java
@@ -33,6 +33,7 @@
     private static final long RENEWAL_MILLIS = 2_500;
     private static final long RETRY_MILLIS = 500;
     private static final long READ_TIMEOUT_MILLIS = 560;
+    private static final long MAX_RELEASE_AGE_MILLIS = 2_000;
     private static final long TICK_MILLIS = 20;
     private static final double MAX_CLOCK_RATE_ERROR = 0.02;
 
@@ -370,6 +371,14 @@
             listingAttempt++;
             listedRevision = 0;
             status.recordListingEnd();
+            owner.release();
+            long stoppedAt = now;
+            instances.forEach(other -> sendDatagram(other.id, receiver -> {
+                if (now - stoppedAt <= MAX_RELEASE_AGE_MILLIS) {
+                    receiver.members.recordRelease(id, receiver.monotonic());
+                    receiver.owner.refresh();
+                }
+            }));
             callStore(() -> {
                 store.loseListing(id);
                 return () -> {};
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -134,14 +134,19 @@
             }
 
             @Override
-            public void quotaRequested(InstanceId requester, List<QuotaRequest> requests) {
-                quotas.handleRequests(requester, requests);
+            public void quotaRequested(InetSocketAddress address, List<QuotaRequest> requests) {
+                quotas.handleRequests(address, requests);
             }
 
             @Override
             public void quotaReplied(InstanceId replier, List<QuotaReply> replies) {
                 quotas.handleReplies(replier, replies);
             }
+
+            @Override
+            public void quotasReleased(InstanceId instance, long sentAtMillis) {
+                quotas.handleRelease(instance, sentAtMillis);
+            }
         });
         quotas = new QuotaExchange(
                 context,
@@ -149,8 +154,7 @@
                 membershipStatus,
                 metrics,
                 () -> routing.config() == null ? 0 : routing.config().version(),
-                peers::sendQuotaRequests,
-                peers::sendQuotaReplies,
+                peers.quotaMessages(),
                 random);
         directory.setLeavingListener(peers::announceLeaving);
         Balancer balancer = new Balancer(settings.domain(), random);
@@ -326,6 +330,7 @@
             log.info("stopping", "openConnections", callerServer.countBusyConnections());
             keyCoordinatorRole.stop();
             memberListings.stop();
+            quotas.release();
             callerServer.disableKeepAlive();
             finishStopWhenIdle();
         });
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -88,6 +88,7 @@
     private static final int FIELD_LEAVING = 6;
     private static final int FIELD_QUOTA_REQUEST = 7;
     private static final int FIELD_QUOTA_REPLY = 8;
+    private static final int FIELD_QUOTAS_RELEASED = 9;
 
     private final GatewayContext context;
     private final InstanceId self;
@@ -269,35 +270,62 @@
         peers.values().forEach(peer -> send(peer.address(), bytes));
     }
 
-    /** Sends requests for tokens to one instance. */
-    void sendQuotaRequests(InstanceId recipient, List<QuotaRequest> requests) {
-        sendInBatches(
-                recipient,
-                requests,
-                (output, request) -> output.writeByteArray(FIELD_QUOTA_REQUEST, PeerMessages.encode(request)));
+    /** Returns the sender of the messages about quotas. */
+    QuotaExchange.Messages quotaMessages() {
+        return new QuotaExchange.Messages() {
+            @Override
+            public void send(InstanceId owner, List<QuotaRequest> requests) {
+                sendQuotaRequests(owner, requests);
+            }
+
+            @Override
+            public void recordNoReply(InstanceId owner, int refused) {
+                log.warn("quota-owner-silent", "owner", owner, "refused", refused);
+            }
+
+            @Override
+            public void reply(InetSocketAddress recipient, List<QuotaReply> replies) {
+                sendQuotaReplies(recipient, replies);
+            }
+
+            @Override
+            public void announceRelease(long sentAtMillis) {
+                announceQuotaRelease(sentAtMillis);
+            }
+        };
     }
 
-    /** Sends replies to requests for tokens to one instance. */
-    void sendQuotaReplies(InstanceId recipient, List<QuotaReply> replies) {
+    private void sendQuotaRequests(InstanceId recipient, List<QuotaRequest> requests) {
+        Peer peer = peers.get(recipient);
+        if (peer != null) {
+            sendInBatches(
+                    peer.address(),
+                    requests,
+                    (output, request) -> output.writeByteArray(FIELD_QUOTA_REQUEST, PeerMessages.encode(request)));
+        }
+    }
+
+    private void sendQuotaReplies(InetSocketAddress recipient, List<QuotaReply> replies) {
         sendInBatches(
                 recipient,
                 replies,
                 (output, reply) -> output.writeByteArray(FIELD_QUOTA_REPLY, PeerMessages.encode(reply)));
     }
 
+    private void announceQuotaRelease(long sentAtMillis) {
+        byte[] bytes = PeerMessages.encode(output -> output.writeInt64(FIELD_QUOTAS_RELEASED, sentAtMillis));
+        peers.values().forEach(peer -> send(peer.address(), bytes));
+    }
+
     /** Writes one entry of a datagram. */
     private interface EntryWriter<T> {
         void write(CodedOutputStream output, T entry) throws IOException;
     }
 
-    private <T> void sendInBatches(InstanceId recipient, List<T> entries, EntryWriter<T> writer) {
-        Peer peer = peers.get(recipient);
-        if (peer == null) {
-            return;
-        }
+    private <T> void sendInBatches(InetSocketAddress recipient, List<T> entries, EntryWriter<T> writer) {
         for (int from = 0; from < entries.size(); from += MAX_QUOTA_ENTRIES_PER_DATAGRAM) {
             List<T> batch = entries.subList(from, Math.min(entries.size(), from + MAX_QUOTA_ENTRIES_PER_DATAGRAM));
-            send(peer.address(), PeerMessages.encode(output -> {
+            send(recipient, PeerMessages.encode(output -> {
                 for (T entry : batch) {
                     writer.write(output, entry);
                 }
@@ -381,13 +409,13 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             try {
-                readDatagram(CodedInputStream.newInstance(ByteBufUtil.getBytes(packet.content())));
+                readDatagram(packet.sender(), CodedInputStream.newInstance(ByteBufUtil.getBytes(packet.content())));
             } catch (IOException | JackdawslipException e) {
                 log.warn("peer-datagram-invalid", "from", packet.sender(), "problem", e.getMessage());
             }
         }
 
-        private void readDatagram(CodedInputStream input) throws IOException {
+        private void readDatagram(InetSocketAddress address, CodedInputStream input) throws IOException {
             InstanceId sender = null;
             List<QuotaRequest> quotaRequests = new ArrayList<>(0);
             List<QuotaReply> quotaReplies = new ArrayList<>(0);
@@ -409,6 +437,7 @@
                     case FIELD_QUOTA_REQUEST -> quotaRequests.add(
                             PeerMessages.decodeQuotaRequest(input.readByteArray()));
                     case FIELD_QUOTA_REPLY -> quotaReplies.add(PeerMessages.decodeQuotaReply(input.readByteArray()));
+                    case FIELD_QUOTAS_RELEASED -> listener.quotasReleased(sender, input.readInt64());
                     case FIELD_KEY -> {
                         PeerMessages.KeyUse use = PeerMessages.decodeKeyUse(input.readByteArray());
                         listener.keyUsed(use.service(), use.slot());
@@ -416,8 +445,8 @@
                     default -> input.skipField(tag);
                 }
             }
-            if (sender != null && !quotaRequests.isEmpty()) {
-                listener.quotaRequested(sender, quotaRequests);
+            if (!quotaRequests.isEmpty()) {
+                listener.quotaRequested(address, quotaRequests);
             }
             if (sender != null && !quotaReplies.isEmpty()) {
                 listener.quotaReplied(sender, quotaReplies);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerListener.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerListener.java
@@ -1,5 +1,6 @@
 package org.jackdawslip.internal.gateway;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 
 import org.jackdawslip.InstanceId;
@@ -19,9 +20,20 @@
     /** The key coordinator announced a key move. */
     void moveAnnounced(KeyMoveAnnouncement announcement);
 
-    /** Another instance asked for tokens of accounts, in one datagram. */
-    default void quotaRequested(InstanceId requester, List<QuotaRequest> requests) {}
+    /**
+     * Another instance asked for tokens of accounts, in one datagram.
+     *
+     * @param address where the reply is sent; the instance need not be listed
+     */
+    default void quotaRequested(InetSocketAddress address, List<QuotaRequest> requests) {}
 
     /** Another instance replied to requests for tokens, in one datagram. */
     default void quotaReplied(InstanceId replier, List<QuotaReply> replies) {}
+
+    /**
+     * Another instance stops and owns no quota any more.
+     *
+     * @param sentAtMillis time of day at which it sent the message, in milliseconds since the epoch
+     */
+    default void quotasReleased(InstanceId instance, long sentAtMillis) {}
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/QuotaExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/QuotaExchange.java
@@ -1,5 +1,6 @@
 package org.jackdawslip.internal.gateway;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -41,6 +42,11 @@
     private static final long MAX_VALIDITY_MILLIS = 400;
     /** Interval of the checks for missing replies while requests wait. */
     private static final long TIMEOUT_CHECK_MILLIS = 20;
+    /**
+     * Age above which the message that an instance stops is ignored, because it may concern an earlier incarnation.
+     * Restarts take longer.
+     */
+    private static final long MAX_RELEASE_AGE_MILLIS = 2_000;
     /** Interval at which buckets that this instance no longer owns are dropped. */
     private static final long OWNER_CHECK_MILLIS = 250;
 
@@ -49,7 +55,8 @@
     private final EventLog log;
     private final GatewayMetrics metrics;
     private final LongSupplier configVersion;
-    private final ReplySender replies;
+    private final Messages messages;
+    private final WallClock wallClock;
     private final QuotaMembers members;
     private final QuotaOwner owner;
     private final QuotaRequester requester;
@@ -57,9 +64,13 @@
     private boolean checkScheduled;
     private int ownedAccounts;
 
-    /** Sends replies to requests for tokens. */
-    interface ReplySender {
-        void send(InstanceId recipient, List<QuotaReply> replies);
+    /** Sends the messages of this exchange. */
+    interface Messages extends QuotaRequester.Sender {
+        /** Sends replies to requests for tokens. */
+        void reply(InetSocketAddress recipient, List<QuotaReply> replies);
+
+        /** Sends to all instances that this one owns no quota any more. */
+        void announceRelease(long sentAtMillis);
     }
 
     /**
@@ -73,21 +84,21 @@
             MembershipStatus status,
             GatewayMetrics metrics,
             LongSupplier configVersion,
-            QuotaRequester.Sender requests,
-            ReplySender replies,
+            Messages messages,
             Random random) {
         this.loop = context.loop();
         this.clock = context.clock();
+        this.wallClock = wallClock;
         this.log = context.log();
         this.metrics = metrics;
         this.configVersion = configVersion;
-        this.replies = replies;
+        this.messages = messages;
         GatewaySettings.AccountTerms terms = context.settings().accountTerms();
         InstanceId self = context.settings().instance();
         members = new QuotaMembers(self, status);
         owner = new QuotaOwner(clock, status, members, CAPACITY_SHARE_OF_EXCESS * terms.quotaExcessRequests());
         requester = new QuotaRequester(
-                clock, wallClock, self, members, owner, requests, validityMillis(terms), random.nextLong() >>> 1);
+                clock, wallClock, self, members, owner, messages, validityMillis(terms), random.nextLong() >>> 2);
     }
 
     private static long validityMillis(GatewaySettings.AccountTerms terms) {
@@ -154,13 +165,16 @@
 
     private void checkTimeouts() {
         checkScheduled = false;
-        requester.checkTimeouts();
-        scheduleSend();
+        try {
+            requester.checkTimeouts();
+        } finally {
+            scheduleSend();
+        }
     }
 
     /** Replies to the requests of another instance. */
-    void handleRequests(InstanceId sender, List<QuotaRequest> requests) {
-        replies.send(sender, requests.stream().map(this::reply).toList());
+    void handleRequests(InetSocketAddress sender, List<QuotaRequest> requests) {
+        messages.reply(sender, requests.stream().map(this::reply).toList());
         ownedAccounts = owner.accounts();
     }
 
@@ -174,4 +188,22 @@
         received.forEach(reply -> requester.handleReply(sender, reply));
         scheduleSend();
     }
+
+    /** Ends the ownership of all accounts for good, because this instance stops. */
+    void release() {
+        owner.release();
+        messages.announceRelease(wallClock.millis());
+    }
+
+    /**
+     * Records that another instance stops and owns no quota any more.
+     *
+     * @param sentAtMillis time of day at which it sent the message, in milliseconds since the epoch
+     */
+    void handleRelease(InstanceId instance, long sentAtMillis) {
+        if (Math.abs(wallClock.millis() - sentAtMillis) <= MAX_RELEASE_AGE_MILLIS) {
+            members.recordRelease(instance, clock.millis());
+            refreshOwner();
+        }
+    }
 }
