Leave room for urgent requests with further attempts too

Cause: an attempt after one that a server did not run, as after "not the owner", was admitted until the deadline of its caller, whatever the more urgent classes need. One in six requests for keys was such an attempt on the reader gateway.

Change: AttemptAdmission decides on such an attempt like on a first one, with the deadline as its limit. An attempt after one that may have run is decided as before, because a refusal would leave the outcome unknown. One priority is as before.

HeavyLoadTest.furtherAttemptsLeaveRoomForUrgentRequests.

--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/HeavyLoadTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/HeavyLoadTest.java
@@ -110,4 +110,36 @@
                         > mean(byTarget, model -> model.total().valueShare()),
                 describe(load, byUrgency) + " instead of " + describe(load, byTarget));
     }
+
+    /**
+     * Creates a rule for which one in six requests is a further attempt of a request that did not run, as after "not the
+     * owner". Such an attempt may wait until its deadline.
+     */
+    private static AdmissionRule withFurtherAttempts(Random random, boolean furtherAttemptsLeaveRoom) {
+        Admission admission = new Admission();
+        return (requestClass, server, usualMillis, remainingMillis, now) -> {
+            long limit = admission.responseTimeLimitMillis(requestClass.toString(), requestClass, remainingMillis, now);
+            boolean further = random.nextInt(6) == 0;
+            if (further && !furtherAttemptsLeaveRoom) {
+                boolean busy = server.estimatedRequests(now) >= server.backend().slots();
+                return busy ? server.expectedResponseMillis(usualMillis, now) - remainingMillis : 0;
+            }
+            return admission
+                    .decide(requestClass, server, usualMillis, further ? remainingMillis : limit, now)
+                    .excessMillis();
+        };
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = HeavyLoads.class,
+            names = {"HOT_KEYS_OF_FOUR_CLASSES", "HOT_KEYS_OF_THE_ARCHIVE", "BURST_AT_THE_ARCHIVE"})
+    void furtherAttemptsLeaveRoomForUrgentRequests(HeavyLoads load) {
+        List<HeavyLoadModel> room = run(load, random -> withFurtherAttempts(random, true));
+        List<HeavyLoadModel> noRoom = run(load, random -> withFurtherAttempts(random, false));
+        assertTrue(
+                mean(room, model -> model.total().valueShare())
+                        > mean(noRoom, model -> model.total().valueShare()),
+                describe(load, room) + " instead of " + describe(load, noRoom));
+    }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/AttemptAdmission.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/AttemptAdmission.java
@@ -14,6 +14,19 @@
  */
 final class AttemptAdmission {
 
+    /** The attempts of the request before the one to decide on. */
+    enum EarlierAttempts {
+        /** No server was chosen before. */
+        NONE,
+        /** Servers were chosen, and the request did not run. It may wait until the deadline, and leaves room too. */
+        NOT_RUN,
+        /**
+         * The request may have run. A refusal would leave its outcome unknown, so it does not leave room for more
+         * urgent ones.
+         */
+        MAY_HAVE_RUN
+    }
+
     private final RequestComponents components;
     private final HostRoute route;
     private final RequestClass requestClass;
@@ -57,9 +70,9 @@
      * Returns why no attempt is started at the server, or null if one is started.
      *
      * @param usualMillis usual response time of the route, in milliseconds
-     * @param firstAttempt whether no server was chosen for the request before
      */
-    Refusal check(ServerSelector selector, BackendTracker server, double usualMillis, boolean firstAttempt, long now) {
+    Refusal check(
+            ServerSelector selector, BackendTracker server, double usualMillis, EarlierAttempts earlier, long now) {
         if (!selector.hasRoom(server)) {
             components
                     .metrics()
@@ -67,16 +80,19 @@
             return new Refusal(ErrorCode.QUEUE_FULL, "the backend server holds as many bytes as it may", usualMillis);
         }
         double expectedMillis = server.expectedResponseMillis(usualMillis, now);
-        if (firstAttempt) {
+        if (earlier == EarlierAttempts.MAY_HAVE_RUN) {
+            if (now + expectedMillis > deadlineAt
+                    && server.estimatedRequests(now) >= server.backend().slots()) {
+                return queueFull(AdmissionDecision.Reason.TOO_LATE, expectedMillis, now + expectedMillis - deadlineAt);
+            }
+        } else {
+            long limitMillis = (earlier == EarlierAttempts.NONE ? queueUntil : deadlineAt) - now;
             AdmissionDecision decision =
-                    components.routing().admission().decide(requestClass, server, usualMillis, queueUntil - now, now);
+                    components.routing().admission().decide(requestClass, server, usualMillis, limitMillis, now);
             components.metrics().countAdmission(requestClass, decision.reason());
             if (!decision.admitted()) {
                 return queueFull(decision.reason(), expectedMillis, decision.excessMillis());
             }
-        } else if (now + expectedMillis > deadlineAt
-                && server.estimatedRequests(now) >= server.backend().slots()) {
-            return queueFull(AdmissionDecision.Reason.TOO_LATE, expectedMillis, now + expectedMillis - deadlineAt);
         }
         if (!components.plannedStop().admits(route.kind(), expectedMillis, now)) {
             return new Refusal(ErrorCode.STOPPING, "the instance stops before a response can be expected", 0);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -159,7 +159,7 @@
             return;
         }
         double usualMillis = latency().meanMillis();
-        Refusal refusal = admission.check(serverSelector, server, usualMillis, lastAttempt == null, now);
+        Refusal refusal = admission.check(serverSelector, server, usualMillis, earlierAttempts(), now);
         if (refusal != null) {
             refuse(refusal);
             return;
@@ -167,6 +167,15 @@
         startAttempt(server, server.expectedResponseMillis(usualMillis, now));
     }
 
+    private AttemptAdmission.EarlierAttempts earlierAttempts() {
+        if (lastAttempt == null) {
+            return AttemptAdmission.EarlierAttempts.NONE;
+        }
+        return possibleExecutions == 0
+                ? AttemptAdmission.EarlierAttempts.NOT_RUN
+                : AttemptAdmission.EarlierAttempts.MAY_HAVE_RUN;
+    }
+
     private LatencyEstimate latency() {
         return serverSelector.latency();
     }
