Reserve half of the retry budget for retries

Cause: hedged attempts and retries of lost attempts share one budget, so hedges of slow requests could use it up before a server fails. Change: RetryBudget.tryHedge leaves half of the budget unused.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/RetryBudget.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/RetryBudget.java
@@ -1,26 +1,22 @@
 package org.jackdawslip.internal.balance;
 
-import java.util.Arrays;
-
 /**
  * Limits the attempts beyond the first of each request to one service, over a sliding window.
  *
  * <p>The limit is global. Each instance applies the ratio to its own requests and uses its share of the fixed
  * allowance. Without communication between instances, the sum stays within the global limit as long as the
- * shares add up to at most 1. Not thread-safe.
+ * shares add up to at most 1. A part of the budget is reserved for retries of failed attempts, which take
+ * precedence over hedged attempts. Not thread-safe.
  */
 public final class RetryBudget {
 
-    private static final int BUCKETS_PER_WINDOW = 20;
-    /** One bucket more than a window has, because the newest bucket is incomplete. */
-    private static final int BUCKET_COUNT = BUCKETS_PER_WINDOW + 1;
+    /** Part of the budget that hedged attempts leave unused: a retry saves a request, a hedge only time. */
+    private static final double RESERVED_FOR_RETRIES_SHARE = 0.5;
 
     private final double ratio;
     private final double allowance;
-    private final long bucketMillis;
-    private final int[] requests = new int[BUCKET_COUNT];
-    private final int[] extraAttempts = new int[BUCKET_COUNT];
-    private long currentBucket = Long.MIN_VALUE;
+    private final WindowCounter requests;
+    private final WindowCounter extraAttempts;
 
     /**
      * Creates a budget.
@@ -32,13 +28,13 @@
     public RetryBudget(double ratio, double allowance, long windowMillis) {
         this.ratio = ratio;
         this.allowance = allowance;
-        this.bucketMillis = Math.max(1, windowMillis / BUCKETS_PER_WINDOW);
+        this.requests = new WindowCounter(windowMillis);
+        this.extraAttempts = new WindowCounter(windowMillis);
     }
 
     /** Counts a request of a caller. */
     public void recordRequest(long now) {
-        advance(now);
-        requests[indexOf(currentBucket)]++;
+        requests.increment(now);
     }
 
     /**
@@ -48,10 +44,24 @@
      * @return whether the extra attempt is allowed
      */
     public boolean tryRetry(long now, double share) {
-        if (remaining(now, share) < 1) {
+        return tryTake(0, now, share);
+    }
+
+    /**
+     * Takes one extra attempt for a hedge, unless only the part that is reserved for retries would remain.
+     *
+     * @param share share of the allowance that this instance may use, from 0 to 1
+     * @return whether the hedged attempt is allowed
+     */
+    public boolean tryHedge(long now, double share) {
+        return tryTake(RESERVED_FOR_RETRIES_SHARE * total(now, share), now, share);
+    }
+
+    private boolean tryTake(double reserved, long now, double share) {
+        if (remaining(now, share) < 1 + reserved) {
             return false;
         }
-        extraAttempts[indexOf(currentBucket)]++;
+        extraAttempts.increment(now);
         return true;
     }
 
@@ -61,26 +71,10 @@
      * @param share share of the allowance that this instance may use, from 0 to 1
      */
     public double remaining(long now, double share) {
-        advance(now);
-        return ratio * Arrays.stream(requests).sum()
-                + allowance * share
-                - Arrays.stream(extraAttempts).sum();
-    }
-
-    private void advance(long now) {
-        long bucket = Math.floorDiv(now, bucketMillis);
-        if (currentBucket == Long.MIN_VALUE) {
-            currentBucket = bucket;
-        }
-        long elapsed = Math.min(BUCKET_COUNT, bucket - currentBucket);
-        for (long i = 1; i <= elapsed; i++) {
-            requests[indexOf(bucket - elapsed + i)] = 0;
-            extraAttempts[indexOf(bucket - elapsed + i)] = 0;
-        }
-        currentBucket = Math.max(currentBucket, bucket);
+        return total(now, share) - extraAttempts.count(now);
     }
 
-    private static int indexOf(long bucket) {
-        return Math.floorMod(bucket, BUCKET_COUNT);
+    private double total(long now, double share) {
+        return ratio * requests.count(now) + allowance * share;
     }
 }
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/RetryBudgetTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/RetryBudgetTest.java
@@ -78,4 +78,20 @@
         assertFalse(budget.tryRetry(11_000, 1));
         assertTrue(budget.tryRetry(19_500, 1));
     }
+
+    /** Lost attempts take precedence: without the reserve, hedges could use up the budget before a failure. */
+    @Test
+    void hedgesLeaveHalfOfTheBudgetToRetries() {
+        RetryBudget budget = new RetryBudget(0, 10, 10_000);
+        int hedges = 0;
+        while (budget.tryHedge(0, 1)) {
+            hedges++;
+        }
+        assertEquals(5, hedges);
+        int retries = 0;
+        while (budget.tryRetry(0, 1)) {
+            retries++;
+        }
+        assertEquals(5, retries);
+    }
 }
