--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/admission/Hedging.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/admission/Hedging.java
@@ -4,53 +4,53 @@
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 
+import org.jackdawslip.internal.hedging.HedgeLimit;
+import org.jackdawslip.internal.hedging.QuantileEstimate;
+
 /**
  * Decides when a request in flight gets a second attempt (a hedge): when the first attempt takes longer than
- * the 95th percentile of recent latencies and the budget allows the hedge. Not thread-safe.
+ * the 95th percentile of recent latencies and the limit allows the hedge. Not thread-safe.
  */
 final class Hedging<R> {
 
-    /** The largest share of the requests that is hedged. */
-    static final double MAX_HEDGED_SHARE = 0.05;
-
     private static final double DELAY_QUANTILE = 0.95;
-    /** With fewer samples, the 95th percentile equals the maximum. */
+    /** With fewer samples, at most one lies above the 95th percentile. */
     private static final int MIN_SAMPLES = 20;
 
-    /** The number of latencies that the percentile is computed from. */
-    private static final int LATENCY_SAMPLES = 256;
-
-    /** Latencies are sorted after this many additions. */
-    private static final int ADDITIONS_BETWEEN_SORTS = 16;
+    private static final double MICROS_PER_MILLI = 1_000;
 
-    private final TokenBucket budget = new TokenBucket(MAX_HEDGED_SHARE, 10, 0);
-    private final LatencyWindow latencies = new LatencyWindow(LATENCY_SAMPLES, ADDITIONS_BETWEEN_SORTS);
+    private final HedgeLimit limit;
+    private final QuantileEstimate latencies = new QuantileEstimate();
     private final PriorityQueue<Timer<R>> timers = new PriorityQueue<>(Comparator.comparingLong(Timer::dueMillis));
 
-    void countRequest() {
-        budget.countRequest();
+    Hedging(HedgeLimit limit) {
+        this.limit = limit;
+    }
+
+    void countRequest(long now) {
+        limit.recordRequest(now);
     }
 
     void recordLatency(long micros) {
-        latencies.add(micros);
+        latencies.add(micros / MICROS_PER_MILLI);
     }
 
-    boolean tryTakeFromBudget() {
-        return budget.tryTake();
+    boolean tryTakeFromLimit(long now) {
+        return limit.tryTake(now);
     }
 
     /**
      * Schedules the hedge of a request whose first attempt was dispatched now, if there are enough samples.
      */
     void schedule(PendingRequest<R> pending, long now) {
-        if (latencies.size() >= MIN_SAMPLES) {
+        if (limit.share() > 0 && latencies.samples() >= MIN_SAMPLES) {
             timers.add(new Timer<>(now + delayMillis(), pending));
         }
     }
 
     /**
-     * Schedules the hedge again, after it was due and no backend server had a free slot or the budget was
-     * empty.
+     * Schedules the hedge again, after it was due and no backend server had a free slot or the limit was
+     * reached.
      */
     void reschedule(PendingRequest<R> pending, long now) {
         timers.add(new Timer<>(now + Math.max(1, delayMillis() / 2), pending));
@@ -81,7 +81,7 @@
     }
 
     private long delayMillis() {
-        return latencies.quantile(DELAY_QUANTILE) / 1000 + 1;
+        return (long) latencies.quantile(DELAY_QUANTILE) + 1;
     }
 
     private record Timer<R>(long dueMillis, PendingRequest<R> pending) {}
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/admission/SenderQueue.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/admission/SenderQueue.java
@@ -1,14 +1,12 @@
 package org.jackdawslip.internal.admission;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 
@@ -23,6 +21,7 @@
 import org.jackdawslip.internal.bundle.BackendServer;
 import org.jackdawslip.internal.bundle.ServicePolicy;
 import org.jackdawslip.internal.bundle.ServicePolicy.Routing;
+import org.jackdawslip.internal.hedging.HedgeLimit;
 import org.jackdawslip.internal.ownership.KeyRange;
 
 /**
@@ -55,8 +54,6 @@
     /** Allows retries in services with few requests before the share applies. */
     private static final double RETRY_BURST = 10;
 
-    private static final long STRAGGLER_UPDATE_INTERVAL_MILLIS = 100;
-
     private final ServicePolicy policy;
     private final RandomGenerator random;
     private final boolean remoteHedging;
@@ -65,12 +62,10 @@
     private final TreeSet<Waiter<R>> deadlines = new TreeSet<>();
     private final Map<Long, Attempt<R>> attemptsInFlight = new HashMap<>();
     private final WaitingRequests<R> waiting = new WaitingRequests<>();
-    private final PriorityQueue<LostAttempt<R>> lostAttempts =
-            new PriorityQueue<>(Comparator.comparingLong(LostAttempt::slotUntilMillis));
+    private final LostAttempts<R> lostAttempts = new LostAttempts<>();
     private final TokenBucket retryBudget = new TokenBucket(RETRY_SHARE, RETRY_BURST, RETRY_BURST);
-    private final Hedging<R> hedging = new Hedging<>();
+    private final Hedging<R> hedging;
     private final StragglerDetector stragglerDetector = new StragglerDetector();
-    private long nextStragglerUpdateMillis = Long.MIN_VALUE;
     private long nextSequence;
     private boolean draining;
     private ClockReading lastCall = new ClockReading(Long.MIN_VALUE, Long.MIN_VALUE);
@@ -79,6 +74,7 @@
         this.policy = builder.policy;
         this.random = builder.random;
         this.remoteHedging = builder.remoteHedging;
+        this.hedging = new Hedging<>(new HedgeLimit(builder.hedgeLimitShare));
     }
 
     /** Starts building a queue for a service. */
@@ -125,7 +121,7 @@
         } else {
             if (!submission.onlyIfFree()) {
                 retryBudget.countRequest();
-                hedging.countRequest();
+                hedging.countRequest(now.monotonicMillis());
             }
             waiting.enqueue(newRequest(submission, owner, now));
         }
@@ -262,7 +258,7 @@
             if (attempt.cancelled || until <= now.monotonicMillis()) {
                 attempt.server.releaseSlot();
             } else {
-                lostAttempts.add(new LostAttempt<>(until, attempt.server));
+                lostAttempts.add(attempt.server, until);
             }
             PendingRequest<R> pending = attempt.pending;
             if (!attempt.cancelled) {
@@ -294,9 +290,7 @@
     /** Returns the monotonic time at which {@link #tick} must be called next, in milliseconds, or empty. */
     public OptionalLong nextTickMillis() {
         long next = deadlines.isEmpty() ? Long.MAX_VALUE : deadlines.first().deadlineMillis();
-        next = lostAttempts.isEmpty()
-                ? next
-                : Math.min(next, lostAttempts.peek().slotUntilMillis());
+        next = Math.min(next, lostAttempts.nextReleaseMillis());
         next = Math.min(next, hedging.nextDueMillis().orElse(Long.MAX_VALUE));
         OptionalLong held = waiting.nextHeldWallMillis();
         if (held.isPresent()) {
@@ -454,12 +448,9 @@
         while (!deadlines.isEmpty() && deadlines.first().deadlineMillis() <= millis) {
             expireWaiter(deadlines.first(), decisions);
         }
-        while (!lostAttempts.isEmpty() && lostAttempts.peek().slotUntilMillis() <= millis) {
-            lostAttempts.remove().server().releaseSlot();
-        }
-        if (policy.routing() == Routing.POOL && millis >= nextStragglerUpdateMillis) {
-            stragglerDetector.updateMarks(servers.values(), millis);
-            nextStragglerUpdateMillis = millis + STRAGGLER_UPDATE_INTERVAL_MILLIS;
+        lostAttempts.releaseDue(millis);
+        if (policy.routing() == Routing.POOL) {
+            stragglerDetector.updateMarksIfDue(servers.values(), millis);
         }
         waiting.releaseHeld(now.wallMillis());
         dispatchWaiting(millis, decisions);
@@ -528,7 +519,7 @@
             if (target != null && target.isStraggler()) {
                 target = null;
             }
-            if ((target == null && !remoteHedging) || !hedging.tryTakeFromBudget()) {
+            if ((target == null && !remoteHedging) || !hedging.tryTakeFromLimit(now)) {
                 deferred.add(pending);
             } else if (target != null) {
                 pending.hedged = true;
@@ -668,13 +659,12 @@
         return servers.values().stream().anyMatch(ServerState::isUsable);
     }
 
-    private record LostAttempt<R>(long slotUntilMillis, ServerState<R> server) {}
-
     /** Builds a {@link SenderQueue}. Not thread-safe. */
     public static final class Builder<R> {
         private final ServicePolicy policy;
         private RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
         private boolean remoteHedging;
+        private double hedgeLimitShare = HedgeLimit.DEFAULT_SHARE;
 
         private Builder(ServicePolicy policy) {
             this.policy = policy;
@@ -692,6 +682,12 @@
             return this;
         }
 
+        /** Sets the hedges for each request, from 0 to 1. The default is {@link HedgeLimit#DEFAULT_SHARE}. */
+        public Builder<R> hedgeLimitShare(double share) {
+            this.hedgeLimitShare = share;
+            return this;
+        }
+
         /** Builds the queue. */
         public SenderQueue<R> build() {
             return new SenderQueue<>(this);
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/admission/StragglerDetector.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/admission/StragglerDetector.java
@@ -23,15 +23,25 @@
     /** How long the median from another sender is used; senders report medians in heartbeats every 200 ms. */
     private static final long REMOTE_VALID_MILLIS = 2000;
 
+    private static final long UPDATE_INTERVAL_MILLIS = 100;
+
     private final Map<BackendServerId, RemoteMedian> remoteMedians = new HashMap<>();
+    private long nextUpdateMillis = Long.MIN_VALUE;
 
     /** Records the median latency of a backend server that another sender reports. */
     void recordRemoteMedian(BackendServerId server, long medianMicros, long now) {
         remoteMedians.put(server, new RemoteMedian(medianMicros, now));
     }
 
-    /** Updates the straggler marks of the given servers. */
-    <R> void updateMarks(Collection<ServerState<R>> ownServers, long now) {
+    /** Updates the straggler marks of the given servers if the interval between two updates has passed. */
+    <R> void updateMarksIfDue(Collection<ServerState<R>> ownServers, long now) {
+        if (now >= nextUpdateMillis) {
+            nextUpdateMillis = now + UPDATE_INTERVAL_MILLIS;
+            updateMarks(ownServers, now);
+        }
+    }
+
+    private <R> void updateMarks(Collection<ServerState<R>> ownServers, long now) {
         remoteMedians.values().removeIf(median -> now - median.recordedAtMillis > REMOTE_VALID_MILLIS);
         Map<BackendServerId, Long> medians = new HashMap<>();
         remoteMedians.forEach((id, median) -> medians.put(id, median.micros));
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/entry/RequestHandler.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/entry/RequestHandler.java
@@ -332,7 +332,8 @@
         if (previous != null && previous.policy().equals(policy)) {
             return previous;
         }
-        ServiceQueue next = new ServiceQueue(policy);
+        ServiceQueue next =
+                new ServiceQueue(policy, context.settings().hedging().share(policy.name()));
         serviceQueues.put(policy.name(), next);
         if (previous != null) {
             applyDecisions(previous, previous.transferTo(next, context.clockReading()));
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/entry/ServiceQueue.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/entry/ServiceQueue.java
@@ -53,10 +53,17 @@
     private final Set<BackendServerId> releasedServers = new HashSet<>();
     private final RangeLoadMeter rangeLoadMeter = new RangeLoadMeter();
 
-    ServiceQueue(ServicePolicy policy) {
+    /**
+     * Creates an empty queue.
+     *
+     * @param hedgeLimitShare hedged attempts for each request, from 0 to 1
+     */
+    ServiceQueue(ServicePolicy policy, double hedgeLimitShare) {
         this.policy = policy;
-        this.senderQueue =
-                SenderQueue.<Exchange>builder(policy).remoteHedging(true).build();
+        this.senderQueue = SenderQueue.<Exchange>builder(policy)
+                .remoteHedging(true)
+                .hedgeLimitShare(hedgeLimitShare)
+                .build();
     }
 
     ServiceName service() {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/settings/EntrySettings.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/settings/EntrySettings.java
@@ -14,7 +14,10 @@
 import org.jackdawslip.FailureDomainId;
 import org.jackdawslip.InstanceId;
 import org.jackdawslip.JackdawslipException;
+import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.bundle.SigningKeys;
+import org.jackdawslip.internal.hedging.HedgeLimit;
+import org.jackdawslip.internal.hedging.HedgeSettings;
 import org.jackdawslip.internal.json.Addresses;
 import org.jackdawslip.internal.json.DocumentSchema;
 import org.jackdawslip.internal.json.Fault;
@@ -38,6 +41,7 @@
  * @param logLevel the lowest level that is logged
  * @param bodyLimitBytes the largest request body that is accepted
  * @param keyLimitBytes the largest key that is accepted
+ * @param hedging the limits on hedged attempts
  */
 public record EntrySettings(
         InstanceId instance,
@@ -51,7 +55,8 @@
         String logFormat,
         String logLevel,
         int bodyLimitBytes,
-        int keyLimitBytes) {
+        int keyLimitBytes,
+        HedgeSettings hedging) {
 
     /**
      * Default of the largest request body. The maximum in the schema is 256 KiB below the peer frame limit of
@@ -98,7 +103,17 @@
                 root.path("logFormat").asText("text"),
                 root.path("logLevel").asText("info"),
                 root.path("bodyLimitBytes").asInt(DEFAULT_BODY_LIMIT_BYTES),
-                root.path("keyLimitBytes").asInt(DEFAULT_KEY_LIMIT_BYTES));
+                root.path("keyLimitBytes").asInt(DEFAULT_KEY_LIMIT_BYTES),
+                hedging(root.path("hedgeLimit")));
+    }
+
+    private static HedgeSettings hedging(JsonNode limit) {
+        Map<ServiceName, Double> shares = new HashMap<>();
+        limit.path("services")
+                .fields()
+                .forEachRemaining(entry -> shares.put(
+                        new ServiceName(entry.getKey()), entry.getValue().asDouble()));
+        return new HedgeSettings(limit.path("default").asDouble(HedgeLimit.DEFAULT_SHARE), shares);
     }
 
     private static HostPort address(JsonNode root, String name) {
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/settings/EntrySettingsTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/settings/EntrySettingsTest.java
@@ -4,12 +4,15 @@
 import java.util.List;
 
 import org.jackdawslip.ErrorCode;
+import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.bundle.SigningKeys;
+import org.jackdawslip.internal.hedging.HedgeSettings;
 import org.jackdawslip.internal.json.InvalidDocumentException;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class EntrySettingsTest {
 
@@ -31,6 +34,22 @@
         assertEquals(1 << 20, settings.bodyLimitBytes());
         assertEquals(1024, settings.keyLimitBytes());
         assertEquals("text", settings.logFormat());
+        assertEquals(HedgeSettings.DEFAULT, settings.hedging());
+    }
+
+    /** Guards against a limit on hedges that applies to the wrong services, and one that is not a share. */
+    @Test
+    void readsHedgeLimits() {
+        String limits = VALID.replace(
+                "\"logLevel\"", "\"hedgeLimit\": {\"default\": 0, \"services\": {\"hub\": 0.02}}, \"logLevel\"");
+        HedgeSettings hedging =
+                EntrySettings.read(limits.getBytes(StandardCharsets.UTF_8)).hedging();
+        assertEquals(0, hedging.share(new ServiceName("other")));
+        assertEquals(0.02, hedging.share(new ServiceName("hub")));
+        InvalidDocumentException failure = assertThrows(
+                InvalidDocumentException.class,
+                () -> EntrySettings.read(limits.replace("0.02", "2").getBytes(StandardCharsets.UTF_8)));
+        assertTrue(failure.getMessage().contains("$.hedgeLimit.services.hub: value 2"), failure.getMessage());
     }
 
     /**
@@ -50,7 +69,7 @@
                 List.of(
                         "$.logLevell: unknown name, did you mean \"logLevel\"?; allowed: one of instance,"
                                 + " failureDomain, callerAddress, peerAddress, adminAddress, storeAddress, peers,"
-                                + " trustedKeys, logFormat, logLevel, bodyLimitBytes, keyLimitBytes",
+                                + " trustedKeys, logFormat, logLevel, bodyLimitBytes, keyLimitBytes, hedgeLimit",
                         "$.adminAddress: value \"127.0.0.1:7001\"; allowed: an address other than that of"
                                 + " $.peerAddress",
                         "$.storeAddress: value \"store:8500\"; allowed: an IP address and a port, such as"
