Hedge requests of the gateway by quantile and limit

Cause: RequestForwarder hedged after 2.5 times the expected time with no limit, also under overload, at cold and paused servers and during a planned stop, and measured nothing. Metrics: hedged requests by result, extra server time, saved time, and reasons for not hedging. A log line is written only if the first attempt had failed or would probably have been late.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewayMetrics.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewayMetrics.java
@@ -11,6 +11,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.jackdawslip.ErrorCode;
+import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.traffic.HostRoute;
 
 /**
@@ -68,6 +69,28 @@
                 .record(Duration.ofMillis(millis));
     }
 
+    /**
+     * Records a hedged request that received its response.
+     *
+     * @param won whether the response came from the hedged attempt
+     * @param extraMillis time for which the hedged attempt kept a server busy; upper limit of the extra work
+     * @param savedMillis estimated time by which the response came earlier
+     */
+    void recordHedge(HostRoute route, ServiceName service, boolean won, long extraMillis, long savedMillis) {
+        addToHedgeCounter("jackdawslip.hedged.requests", route, service, won ? "won" : "lost", 1);
+        addToHedgeCounter("jackdawslip.hedge.extra.millis", route, service, won ? "won" : "lost", extraMillis);
+        addToHedgeCounter("jackdawslip.hedge.saved.millis", route, service, "won", savedMillis);
+    }
+
+    private void addToHedgeCounter(String name, HostRoute route, ServiceName service, String result, long amount) {
+        counters.computeIfAbsent(name + '/' + route.name() + '/' + service + '/' + result, key -> Counter.builder(name)
+                        .tag("route", route.name())
+                        .tag("service", service.value())
+                        .tag("result", result)
+                        .register(registry))
+                .increment(amount);
+    }
+
     /** Registers a gauge. Its value is read when the metrics are scraped. */
     void registerGauge(String name, Supplier<Number> value) {
         Gauge.builder("jackdawslip." + name, value).register(registry);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewaySettings.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 
 import org.jackdawslip.FailureDomainId;
 import org.jackdawslip.InstanceId;
+import org.jackdawslip.internal.hedging.HedgeSettings;
 
 /**
  * The settings of one gateway instance. Immutable and thread-safe.
@@ -18,6 +19,7 @@
  * @param platformLimits the time limits and rates that the platform guarantees and requires
  * @param instanceLimits the resources of the host of this instance
  * @param accountTerms the time limits and tolerances for client accounts
+ * @param hedging the operators' limits on hedged attempts
  */
 public record GatewaySettings(
         InstanceId instance,
@@ -29,7 +31,8 @@
         String storeAddress,
         PlatformLimits platformLimits,
         InstanceLimits instanceLimits,
-        AccountTerms accountTerms) {
+        AccountTerms accountTerms,
+        HedgeSettings hedging) {
 
     /**
      * Time limits and rates of the platform. Immutable and thread-safe.
@@ -107,6 +110,7 @@
         private PlatformLimits platformLimits;
         private InstanceLimits instanceLimits = InstanceLimits.DEFAULT;
         private AccountTerms accountTerms = AccountTerms.DEFAULT;
+        private HedgeSettings hedging = HedgeSettings.DEFAULT;
 
         private Builder(InstanceId instance, FailureDomainId domain) {
             this.instance = instance;
@@ -151,6 +155,12 @@
             return this;
         }
 
+        /** Sets the limits on hedged attempts; the default is {@link HedgeSettings#DEFAULT}. */
+        public Builder hedging(HedgeSettings settings) {
+            hedging = settings;
+            return this;
+        }
+
         /** Returns the settings. */
         public GatewaySettings build() {
             return new GatewaySettings(
@@ -163,7 +173,8 @@
                     Objects.requireNonNull(storeAddress, "storeAddress"),
                     Objects.requireNonNull(platformLimits, "platformLimits"),
                     instanceLimits,
-                    accountTerms);
+                    accountTerms,
+                    hedging);
         }
     }
 }
--- /dev/null
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HedgedAttempts.java
@@ -0,0 +1,171 @@
+package org.jackdawslip.internal.gateway;
+
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.util.concurrent.ScheduledFuture;
+import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.balance.BackendTracker;
+import org.jackdawslip.internal.hedging.HedgeDecision;
+import org.jackdawslip.internal.hedging.HedgePolicy;
+import org.jackdawslip.internal.hedging.HedgeTiming;
+import org.jackdawslip.internal.traffic.HostRoute;
+
+/**
+ * Starts a hedged attempt of one request if its attempt has not responded within the hedge delay, and measures what
+ * it cost and saved.
+ *
+ * <p>Invariants: a request has at most one hedged attempt; a request that may run only once or that has a key has
+ * none. Confined to the event loop.
+ */
+final class HedgedAttempts {
+
+    /** The request that may be hedged. Called on the event loop. */
+    interface Request {
+        /** Returns whether the request is open, has an attempt and may have one more. */
+        boolean mayAttemptMore();
+
+        /** Starts an attempt at the server. */
+        void startAttempt(BackendTracker server, double expectedMillis);
+    }
+
+    private final RequestComponents components;
+    private final HostRoute route;
+    private final ServiceName service;
+    private final ServerSelector serverSelector;
+    private final RequestLog requestLog;
+    private final Request request;
+    private final boolean hedgeable;
+    private final long receivedAt;
+    private final long deadlineAt;
+    private final HedgePolicy policy;
+    private final HedgeTiming timing;
+
+    private ScheduledFuture<?> timer;
+    private long firstStartedAt;
+    /** The server of the hedged attempt, or null if there was none. */
+    private BackendTracker hedge;
+
+    private long hedgeStartedAt;
+
+    HedgedAttempts(
+            RequestComponents components,
+            HostRoute route,
+            ServerSelector serverSelector,
+            RequestLog requestLog,
+            Request request,
+            long receivedAt,
+            long deadlineAt) {
+        this.components = components;
+        this.route = route;
+        this.service = serverSelector.service();
+        this.serverSelector = serverSelector;
+        this.requestLog = requestLog;
+        this.request = request;
+        this.receivedAt = receivedAt;
+        this.deadlineAt = deadlineAt;
+        this.policy = components.routing().hedgePolicy(service);
+        this.timing = components.routing().hedgeTiming(route, service);
+        this.hedgeable = !serverSelector.keyed() && route.kind().repeatable() && policy.enabled();
+        policy.recordRequest(now());
+    }
+
+    /** Schedules the hedge of an attempt that has just been started. */
+    void onAttemptStarted(double expectedMillis) {
+        if (hedge != null) {
+            return;
+        }
+        long now = now();
+        firstStartedAt = now;
+        cancel();
+        if (hedgeable) {
+            double delayMillis = timing.delayMillis(
+                    expectedMillis,
+                    usualMillis(),
+                    route.targetLatencyMillis(),
+                    receivedAt + route.targetLatencyMillis() - now,
+                    deadlineAt - now);
+            timer = components.loop().schedule(this::startHedge, Math.round(delayMillis), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void startHedge() {
+        if (!request.mayAttemptMore()) {
+            return;
+        }
+        long now = now();
+        BackendTracker server = serverSelector.selectServer();
+        double expectedMillis = server == null ? 0 : server.expectedResponseMillis(usualMillis(), now);
+        if (!components.plannedStop().admits(route.kind(), expectedMillis, now)) {
+            return;
+        }
+        HedgeDecision decision = policy.decide(
+                server,
+                expectedMillis,
+                now - firstStartedAt,
+                deadlineAt - now,
+                components.routing().globalLimitShare(),
+                now);
+        if (decision == HedgeDecision.HEDGE) {
+            hedge = server;
+            hedgeStartedAt = now;
+            components.metrics().countDecision("hedge", service.value());
+            request.startAttempt(server, expectedMillis);
+        } else {
+            components
+                    .metrics()
+                    .countDecision(
+                            "no-hedge", decision.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+        }
+    }
+
+    /**
+     * Records the first successful response of the request.
+     *
+     * @param attempt the attempt that received it
+     * @param otherOpen whether another attempt is open, which is cancelled now
+     */
+    void onResponse(BackendTracker server, RequestLog.AttemptSummary attempt, boolean otherOpen) {
+        long now = now();
+        timing.recordResponseTime(now - firstStartedAt);
+        if (hedge == null) {
+            return;
+        }
+        boolean won = server == hedge;
+        long elapsedMillis = hedgeStartedAt - firstStartedAt;
+        long hedgeMillis = now - hedgeStartedAt;
+        // The first attempt is assumed to take as long again as it had taken, see HedgePolicy.
+        long savedMillis = won ? Math.max(0, elapsedMillis - hedgeMillis) : 0;
+        components.metrics().recordHedge(route, service, won, hedgeMillis, savedMillis);
+        long targetAt = receivedAt + route.targetLatencyMillis();
+        if (won && (!otherOpen || now <= targetAt && now + savedMillis > targetAt)) {
+            requestLog.logDecisiveHedge(attempt, elapsedMillis, hedgeMillis, !otherOpen);
+        }
+    }
+
+    /** Records that a server refused an attempt for lack of capacity. */
+    void onServerFull(BackendTracker server) {
+        if (server == hedge) {
+            policy.recordOverload(route.targetLatencyMillis(), now());
+        }
+    }
+
+    /** Records that the request is refused because no server is expected to respond in time. */
+    void onNoCapacity() {
+        policy.recordOverload(route.targetLatencyMillis(), now());
+    }
+
+    void cancel() {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    private double usualMillis() {
+        return serverSelector.latency().meanMillis();
+    }
+
+    private long now() {
+        return components.clock().millis();
+    }
+}
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -45,10 +45,6 @@
     private static final int MAX_UNREACHED_SERVERS = 4;
     /** Interval at which a waiting request checks whether its key has an owner. */
     private static final long OWNER_POLL_INTERVAL_MILLIS = 15;
-    /** Delay of a hedged attempt as a multiple of the expected response time. */
-    private static final double HEDGE_DELAY_FACTOR = 2.5;
-    /** Lower limit of the delay of a hedged attempt, as a fraction of the target latency. */
-    private static final double MIN_HEDGE_DELAY_SHARE = 0.45;
     /** A response is overdue after this multiple of the expected response time. */
     private static final double OVERDUE_FACTOR = 2;
     /**
@@ -98,7 +94,9 @@
     private boolean attempted;
     private ScheduledFuture<?> deadlineTimer;
     private ScheduledFuture<?> ownerPollTimer;
-    private ScheduledFuture<?> hedgeTimer;
+    /** Null until a server may be selected. */
+    private HedgedAttempts hedgedAttempts;
+
     /** The response that is being passed on in parts, or null. */
     private StreamedResponse streamedResponse;
 
@@ -147,6 +145,8 @@
         components.routing().retryBudget(service).recordRequest(now());
         deadlineAt = Math.min(deadlineAt, components.plannedStop().endsAt());
         deadlineTimer = schedule(this::handleDeadline, deadlineAt - now());
+        hedgedAttempts = new HedgedAttempts(
+                components, route, serverSelector, requestLog, new HedgedRequest(), request.receivedAt(), deadlineAt);
         attemptNextServer();
     }
 
@@ -176,6 +176,7 @@
         if (now + expectedMillis > latestResponseAt
                 && server.estimatedRequests(now) >= server.backend().slots()) {
             excessMillis = now + expectedMillis - latestResponseAt;
+            hedgedAttempts.onNoCapacity();
             refuse(ErrorCode.QUEUE_FULL, "expected time " + Math.round(expectedMillis) + " ms exceeds the useful time");
             return;
         }
@@ -219,29 +220,8 @@
         components.peers().recordInFlightChange(attempt.target);
         attempted = true;
         attempt.exchange = attempt.target.pool.send(backendRequest, sentConnections, attempt);
-        if (attempt.open && keySlot < 0 && route.kind().repeatable() && hedgeTimer == null) {
-            double delayMillis =
-                    Math.max(HEDGE_DELAY_FACTOR * expectedMillis, MIN_HEDGE_DELAY_SHARE * route.targetLatencyMillis());
-            hedgeTimer = schedule(this::startHedgedAttempt, Math.round(delayMillis));
-        }
-    }
-
-    /**
-     * Sends the request to a second server because the first one has not responded within the hedge delay.
-     */
-    private void startHedgedAttempt() {
-        if (finished || openAttempts.isEmpty() || countAttempts() >= route.maxAttempts()) {
-            return;
-        }
-        BackendTracker server = serverSelector.selectServer();
-        long now = now();
-        if (server == null || server.estimatedRequests(now) >= server.backend().slots()) {
-            return;
-        }
-        double expectedMillis = server.expectedResponseMillis(latency().meanMillis(), now);
-        if (now + expectedMillis < deadlineAt && tryUseRetryBudget()) {
-            components.metrics().countDecision("hedge", service.value());
-            startAttempt(server, expectedMillis);
+        if (attempt.open) {
+            hedgedAttempts.onAttemptStarted(expectedMillis);
         }
     }
 
@@ -342,6 +322,7 @@
         HttpHeaders headers = new DefaultHttpHeaders();
         CallerRequest.copyEndToEndHeaders(response.headers(), headers);
         byte[] body = ByteBufUtil.getBytes(response.content());
+        hedgedAttempts.onResponse(attempt.target.tracker, attempt.summary(), !openAttempts.isEmpty());
         finish();
         recordReturned(attempt, response.status().code());
         responseWriter.write(response.status().code(), headers, body);
@@ -442,7 +423,9 @@
     private void cancelTimers() {
         cancel(deadlineTimer);
         cancel(ownerPollTimer);
-        cancel(hedgeTimer);
+        if (hedgedAttempts != null) {
+            hedgedAttempts.cancel();
+        }
     }
 
     private static void cancel(ScheduledFuture<?> timer) {
@@ -459,6 +442,19 @@
         return components.clock().millis();
     }
 
+    /** The request as seen by its hedged attempts. */
+    private final class HedgedRequest implements HedgedAttempts.Request {
+        @Override
+        public boolean mayAttemptMore() {
+            return !finished && !openAttempts.isEmpty() && countAttempts() < route.maxAttempts();
+        }
+
+        @Override
+        public void startAttempt(BackendTracker server, double expectedMillis) {
+            RequestForwarder.this.startAttempt(server, expectedMillis);
+        }
+    }
+
     /** One attempt of the request at one backend server. */
     private final class Attempt implements ExchangeListener, StreamedResponse.Listener {
         private final BackendDirectory.Target target;
@@ -593,6 +589,7 @@
             }
             recordServiceTime(recordLoadReport(head));
             openAttempts.remove(this);
+            hedgedAttempts.onResponse(target.tracker, summary(), !openAttempts.isEmpty());
             finish();
             streamedResponse = new StreamedResponse(exchange, head, this);
             deadlineTimer = schedule(streamedResponse::cutAtDeadline, deadlineAt - now() + STREAM_GRACE_MILLIS);
@@ -656,6 +653,7 @@
                     failures.recordRejection("requests are rejected", now());
                 } else {
                     target.tracker.recordNotRun();
+                    hedgedAttempts.onServerFull(target.tracker);
                 }
                 if (!finished) {
                     handleRefusal(this, status);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestLog.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestLog.java
@@ -191,6 +191,33 @@
                 liveInstances);
     }
 
+    /**
+     * Logs that a hedged attempt decided the outcome of the request: the first attempt had failed, or its response
+     * would probably have exceeded the target latency.
+     *
+     * @param elapsedMillis time from the first attempt to the hedged attempt, in milliseconds
+     * @param hedgeMillis time from the hedged attempt to its response, in milliseconds
+     * @param firstFailed whether the first attempt had failed
+     */
+    void logDecisiveHedge(AttemptSummary hedge, long elapsedMillis, long hedgeMillis, boolean firstFailed) {
+        log.info(
+                "request-hedged",
+                "request",
+                requestId,
+                "route",
+                route,
+                "service",
+                service,
+                "backend",
+                hedge.backend(),
+                "elapsedMillis",
+                elapsedMillis,
+                "hedgeMillis",
+                hedgeMillis,
+                "firstFailed",
+                firstFailed);
+    }
+
     /** Logs that the outcome of this request made the instance avoid the server for the given time. */
     void logServerAvoided(AttemptSummary attempt, String cause, long pauseMillis) {
         log.warn(
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RoutingState.java
@@ -14,6 +14,9 @@
 import org.jackdawslip.internal.balance.LatencyEstimate;
 import org.jackdawslip.internal.balance.RetryBudget;
 import org.jackdawslip.internal.balance.WarmupGate;
+import org.jackdawslip.internal.hedging.HedgeLimit;
+import org.jackdawslip.internal.hedging.HedgePolicy;
+import org.jackdawslip.internal.hedging.HedgeTiming;
 import org.jackdawslip.internal.keyspace.OwnerView;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
@@ -43,6 +46,8 @@
     private final TrafficSplitter splitter;
     private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
     private final Map<String, LatencyEstimate> latencyEstimates = new HashMap<>();
+    private final Map<ServiceName, HedgePolicy> hedgePolicies = new HashMap<>();
+    private final Map<String, HedgeTiming> hedgeTimings = new HashMap<>();
     private final Map<ServiceName, OwnerView> ownerViews = new HashMap<>();
     private final Admission admission = new Admission();
     /** Routes whose unknown kind has been logged. */
@@ -114,6 +119,16 @@
                 name -> new LatencyEstimate(INITIAL_LATENCY_SHARE * route.targetLatencyMillis()));
     }
 
+    HedgePolicy hedgePolicy(ServiceName service) {
+        return hedgePolicies.computeIfAbsent(
+                service,
+                name -> new HedgePolicy(new HedgeLimit(settings.hedging().share(name)), retryBudget(name)));
+    }
+
+    HedgeTiming hedgeTiming(HostRoute route, ServiceName service) {
+        return hedgeTimings.computeIfAbsent(route.name() + ' ' + service, name -> new HedgeTiming());
+    }
+
     OwnerView ownerView(ServiceName service) {
         return ownerViews.computeIfAbsent(service, name -> new OwnerView());
     }
