Merge hedging within a limit

Cause: hedged attempts had no limit that operators set and no measure; the delay was a fixed multiple of a mean.

Result: builds; its effect on deployments is not measured yet.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewaySettings.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 
 import org.jackdawslip.FailureDomainId;
 import org.jackdawslip.InstanceId;
+import org.jackdawslip.internal.hedging.HedgeSettings;
 import org.jackdawslip.internal.membership.InstanceOrder;
 
 /**
@@ -19,6 +20,7 @@
  * @param platformLimits the time limits and rates that the platform guarantees and requires
  * @param instanceLimits the resources of the host of this instance
  * @param accountTerms the time limits and tolerances for client accounts
+ * @param hedging the operators' limits on hedged attempts
  */
 public record GatewaySettings(
         InstanceId instance,
@@ -30,7 +32,8 @@
         String storeAddress,
         PlatformLimits platformLimits,
         InstanceLimits instanceLimits,
-        AccountTerms accountTerms) {
+        AccountTerms accountTerms,
+        HedgeSettings hedging) {
 
     /**
      * Time limits and rates of the platform. Immutable and thread-safe.
@@ -113,6 +116,7 @@
         private PlatformLimits platformLimits;
         private InstanceLimits instanceLimits = InstanceLimits.DEFAULT;
         private AccountTerms accountTerms = AccountTerms.DEFAULT;
+        private HedgeSettings hedging = HedgeSettings.DEFAULT;
 
         private Builder(InstanceId instance, FailureDomainId domain) {
             this.instance = instance;
@@ -157,6 +161,12 @@
             return this;
         }
 
+        /** Sets the limits on hedged attempts; the default is {@link HedgeSettings#DEFAULT}. */
+        public Builder hedging(HedgeSettings settings) {
+            hedging = settings;
+            return this;
+        }
+
         /** Returns the settings. */
         public GatewaySettings build() {
             return new GatewaySettings(
@@ -169,7 +179,8 @@
                     Objects.requireNonNull(storeAddress, "storeAddress"),
                     Objects.requireNonNull(platformLimits, "platformLimits"),
                     instanceLimits,
-                    accountTerms);
+                    accountTerms,
+                    hedging);
         }
     }
 }
