--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewayContext.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/GatewayContext.java
@@ -25,18 +25,31 @@
         PlatformAdapter adapter,
         DurableStore store) {
 
-    /** Runs an action periodically. An exception of the action is logged and does not end the repetition. */
+    /**
+     * Runs an action periodically. An exception or an error of the action, such as an OutOfMemoryError, is logged and
+     * does not end the repetition.
+     */
     void every(long intervalMillis, String name, Runnable action) {
         loop.scheduleAtFixedRate(
                 () -> {
                     try {
                         action.run();
-                    } catch (RuntimeException | StackOverflowError e) {
-                        log.warnTaskFailure(name, e);
+                    } catch (RuntimeException | Error e) {
+                        logFailure(name, e);
                     }
                 },
                 intervalMillis,
                 intervalMillis,
                 TimeUnit.MILLISECONDS);
     }
+
+    /** Logs the failure of a task; the log itself may fail for the same reason, for example an exhausted heap. */
+    void logFailure(String task, Throwable failure) {
+        try {
+            log.warnTaskFailure(task, failure);
+        } catch (OutOfMemoryError e) {
+            // There is no memory for the line. The next failure is logged if there is some by then.
+            return;
+        }
+    }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
@@ -31,12 +31,15 @@
 
     private static final long RENEWAL_INTERVAL_MILLIS = 2_500;
     private static final long RETRY_DELAY_MILLIS = 500;
+    /** Time without a renewal after which the sequence of renewals has ended; the lease has then ended too. */
+    private static final long MAX_STALL_MILLIS = 30_000;
 
     /** Receives the live instances when the set of them changes. */
     interface Listener {
         void liveInstancesChanged(Map<InstanceId, PeerExchange.Peer> live);
     }
 
+    private final GatewayContext context;
     private final GatewaySettings settings;
     private final DurableStore store;
     private final PlatformAdapter adapter;
@@ -56,10 +59,13 @@
     private long listedRevision;
     /** Number of the newest attempt to write the listing; callbacks of earlier attempts are ignored. */
     private long newestAttempt;
+    /** Time of the last write or renewal that was started. */
+    private long lastStepAt;
 
     private boolean stopped;
 
     MemberListings(GatewayContext context, PlatformView view, MembershipStatus membershipStatus, Listener listener) {
+        this.context = context;
         this.settings = context.settings();
         this.store = context.store();
         this.adapter = context.adapter();
@@ -71,11 +77,23 @@
         this.listener = listener;
     }
 
+    /** Keeps the listing of this instance in the store. */
+    void start() {
+        context.every(RENEWAL_INTERVAL_MILLIS, "listing-stall", () -> {
+            // An Error may have ended the task that starts the next renewal.
+            if (clock.millis() - lastStepAt > MAX_STALL_MILLIS) {
+                register();
+            }
+        });
+        register();
+    }
+
     /** Writes the listing of this instance under a new lease, and renews the lease from then on. */
     void register() {
         if (stopped) {
             return;
         }
+        lastStepAt = clock.millis();
         long attempt = ++newestAttempt;
         long sentAt = clock.millis();
         store.createLease(LISTING_TERM_MILLIS, leaseResult -> {
@@ -118,6 +136,7 @@
         if (stopped) {
             return;
         }
+        lastStepAt = clock.millis();
         long attempt = newestAttempt;
         long sentAt = clock.millis();
         store.renewLease(listingLease, result -> {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -32,6 +32,11 @@
     private static final long MAX_BACKOFF_MILLIS = 400;
     /** A watch returns every version of a record, so after a longer gap a read of all records is faster. */
     private static final long MAX_WATCH_GAP_MILLIS = 2_000;
+
+    /** Interval between checks whether the sequence of calls has ended. */
+    private static final long STALL_CHECK_INTERVAL_MILLIS = 5_000;
+    /** Time without a new call after which the sequence has ended; longer than a read of many pages. */
+    private static final long MAX_STALL_MILLIS = 30_000;
     /**
      * Largest factor by which timeouts are extended. A call without a response ends only after its timeout, and
      * until then the recovery of the store is not detected.
@@ -50,6 +55,7 @@
     private final PlatformAdapter adapter;
     private final EventLoop loop;
     private final MonotonicClock clock;
+    private final GatewayContext context;
     private final EventLog log;
     private final MembershipStatus membershipStatus;
     private final Consumer<PlatformEvent> listener;
@@ -63,6 +69,8 @@
     private long viewRevision;
     /** Number of the newest read or watch; the results of earlier ones are ignored. */
     private long newestCallNumber;
+    /** Time when the newest call was started or scheduled. */
+    private long lastStepAt;
 
     private int liveInstances = 1;
     private boolean synced;
@@ -98,6 +106,7 @@
         this.loop = context.loop();
         this.clock = context.clock();
         this.log = context.log();
+        this.context = context;
         this.membershipStatus = membershipStatus;
         this.listener = listener;
         GatewaySettings settings = context.settings();
@@ -111,11 +120,26 @@
 
     /** Starts to read and then watch the store. */
     void start() {
+        context.every(STALL_CHECK_INTERVAL_MILLIS, "view-stall", this::restartIfStalled);
         lastSuccessAt = clock.millis();
         newestViewAt = lastSuccessAt;
         readAll();
     }
 
+    /** Reads all records if the next call was never started, because an Error ended the task that starts it. */
+    private void restartIfStalled() {
+        if (!stopped && clock.millis() - lastStepAt > MAX_STALL_MILLIS) {
+            log.warn("view-restarted", "idleMillis", clock.millis() - lastStepAt);
+            readAll();
+        }
+    }
+
+    /** Returns the number of the next call, which replaces the pending one. */
+    private long nextCallNumber() {
+        lastStepAt = clock.millis();
+        return ++newestCallNumber;
+    }
+
     /** Ends reads and watches. Pending results are ignored. */
     void stop() {
         stopped = true;
@@ -208,7 +232,7 @@
 
     /** Returns a receiver that ignores the result if another read or watch was started in the meantime. */
     private Consumer<DurableStore.Result> ifNewest(Consumer<DurableStore.Result> whenDone) {
-        long callNumber = ++newestCallNumber;
+        long callNumber = nextCallNumber();
         return result -> {
             if (callNumber == newestCallNumber && !stopped) {
                 whenDone.accept(result);
@@ -281,7 +305,7 @@
 
     /** Schedules the next read or watch, unless another one is started before. */
     private void scheduleNext(Runnable action, long millis) {
-        long callNumber = ++newestCallNumber;
+        long callNumber = nextCallNumber();
         loop.schedule(
                 () -> {
                     if (callNumber == newestCallNumber && !stopped) {
@@ -363,6 +387,10 @@
             listener.accept(adapter.decode(storeRecord));
         } catch (RuntimeException | StackOverflowError e) {
             log.warnTaskFailure("record " + storeRecord.key(), e);
+        } catch (OutOfMemoryError e) {
+            // The record is not faulty. Revision 0 lets the next read of all records apply it again.
+            revisions.put(storeRecord.key(), 0L);
+            throw e;
         }
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/logging/AsyncLineWriter.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/logging/AsyncLineWriter.java
@@ -48,10 +48,7 @@
     private void writeQueuedLines() {
         try {
             while (!closing || !queue.isEmpty()) {
-                String line = queue.poll(closing ? 1 : 10_000, TimeUnit.MILLISECONDS);
-                if (line != null && !line.isEmpty()) {
-                    out.println(line);
-                }
+                writeNextLine();
             }
             out.flush();
         } catch (InterruptedException e) {
@@ -59,6 +56,19 @@
         }
     }
 
+    private void writeNextLine() throws InterruptedException {
+        String line = queue.poll(closing ? 1 : 10_000, TimeUnit.MILLISECONDS);
+        try {
+            if (line != null && !line.isEmpty()) {
+                out.println(line);
+            }
+        } catch (RuntimeException | Error e) {
+            // Without this thread nothing would be logged any more. An exhausted heap may be free again for the next
+            // line.
+            dropped.incrementAndGet();
+        }
+    }
+
     /** Writes the queued lines, for at most 300 ms, and stops the thread. */
     @Override
     public void close() {
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FaultToleranceTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FaultToleranceTest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jackdawslip.InstanceId;
@@ -13,6 +14,7 @@
 import org.jackdawslip.internal.logging.AsyncLineWriter;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -26,6 +28,7 @@
 
     private static final long SETTLE_MILLIS = 3_000;
     private static final long INTERVAL_MILLIS = 50;
+    private static final long RESTART_MILLIS = 60_000;
 
     /** The kinds of throwables that the processing of one record may end with. */
     private enum Fault {
@@ -70,10 +73,7 @@
         return new GatewayContext(settings, store.loop(), () -> store.now, events, adapter, store.new Client());
     }
 
-    @ParameterizedTest
-    @EnumSource(Fault.class)
-    void recordsAreProcessedAfterFaultInEarlierRecord(Fault fault) {
-        List<String> processed = new ArrayList<>();
+    private PlatformView view(Consumer<String> listener) {
         GatewayContext context = context(new IgnoringAdapter());
         FailoverReader reader = new FailoverReader(
                 context,
@@ -86,8 +86,19 @@
         });
         ViewFeed feed = new ViewFeed(store.loop(), () -> store.now, () -> store.now, 2_000, feedReader::followsStore);
         MembershipStatus membershipStatus = new MembershipStatus(() -> store.now, () -> store.now);
-        PlatformView view = new PlatformView(context, feedReader, feed, membershipStatus, event -> {
-            String key = ((PlatformEvent.Ignored) event).key();
+        return new PlatformView(
+                context,
+                feedReader,
+                feed,
+                membershipStatus,
+                event -> listener.accept(((PlatformEvent.Ignored) event).key()));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void recordsAreProcessedAfterFaultInEarlierRecord(Fault fault) {
+        List<String> processed = new ArrayList<>();
+        PlatformView view = view(key -> {
             if (key.startsWith("odd")) {
                 fault.occur();
             }
@@ -106,6 +117,55 @@
         assertEquals(List.of("first", "second", "third", "fourth"), processed);
     }
 
+    /**
+     * Guards against an instance that follows the store no more after its heap was exhausted once, and against the
+     * loss of the record that was being applied.
+     */
+    @Test
+    void storeIsFollowedAgainAfterExhaustedHeap() {
+        List<String> processed = new ArrayList<>();
+        List<String> failed = new ArrayList<>();
+        PlatformView view = view(key -> {
+            if (key.equals("second") && failed.isEmpty()) {
+                failed.add(key);
+                throw new OutOfMemoryError("simulated");
+            }
+            processed.add(key);
+        });
+        store.put("first", "");
+        view.start();
+        store.run(SETTLE_MILLIS);
+        store.put("second", "");
+        runToTheEnd(SETTLE_MILLIS);
+        store.put("third", "");
+        runToTheEnd(RESTART_MILLIS);
+        assertEquals(List.of("first", "second", "third"), processed);
+    }
+
+    /** Guards against a periodic task that an exhausted heap ends for good. */
+    @Test
+    void taskIsRepeatedAfterExhaustedHeap() {
+        List<Long> runs = new ArrayList<>();
+        context(new IgnoringAdapter()).every(INTERVAL_MILLIS, "task", () -> {
+            runs.add(store.now);
+            throw new OutOfMemoryError("simulated");
+        });
+        store.run(10 * INTERVAL_MILLIS);
+        assertEquals(10, runs.size());
+    }
+
+    /** Runs the event loop, which goes on after an Error of a task as that of Netty does. */
+    private void runToTheEnd(long millis) {
+        long end = store.now + millis;
+        while (store.now < end) {
+            try {
+                store.run(end - store.now);
+            } catch (OutOfMemoryError e) {
+                assertEquals("simulated", e.getMessage());
+            }
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(Fault.class)
     void taskIsRepeatedAfterFault(Fault fault) {
