Limit what callers make a process hold

Cause: bodies, headers, requests sent ahead and unread responses of callers were limited for each request only, any byte counted as activity, header_timeout_ms was not applied, and nothing limited the connections. A body between 8 and 64 MB received 413.

ClientHttpCodec stops decoding while a connection may not have further requests. Time limits for headers (408), bodies (408) and unread responses, checked every 250 ms. At the limit of connections the least valuable one is closed. A body without a route is not kept. The readiness and metrics addresses have one request at a time for each connection, keep no header that is not used, and have a limit of connections, as have the TCP connections of peers.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
@@ -1,23 +1,24 @@
 package org.jackdawslip.internal.gateway;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -29,73 +30,223 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import org.jackdawslip.internal.limits.CallerMemory;
+import org.jackdawslip.internal.limits.ConnectionBudget;
+import org.jackdawslip.internal.limits.MemoryUse;
+import org.jackdawslip.internal.traffic.CallerLimits;
+import org.jackdawslip.internal.traffic.HostRoute;
+import org.jackdawslip.internal.traffic.RoutingConfig;
 
 /**
  * The connection of one caller. Pipelined requests are processed concurrently, and their responses are
  * written in the order of the requests. Requests behind a response that is being written in parts wait for its end,
  * because the connection closes if that response breaks off.
  *
- * <p>Invariant: this instance closes the connection only after every request that was read has a response and the
- * caller had time to receive it, except after an I/O error. Requests that follow a request with "Connection: close"
- * receive no response. Confined to the event loop.
+ * <p>Invariants: this instance closes the connection only after every request that was read has a response and the
+ * caller had time to receive it, except after an I/O error, or if the caller does not read its responses. Requests
+ * that follow a request with "Connection: close" receive no response. A request that is refused to protect the
+ * instance was not passed on. Confined to the event loop.
  */
-final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest>
+        implements ClientHttpCodec.Gate, CallerMemory.Client, ConnectionBudget.Connection {
 
     /** Requests without a response on one connection at which the connection stops reading. */
     private static final int MAX_PIPELINED = 32;
+    /** Bytes of requests without a response, or of responses to be written, at which it stops reading as well. */
+    private static final int MAX_PIPELINED_BYTES = 256 * 1024;
+    /** Size up to which the only request of a connection counts as ordinary: a body of about 100 KB with headers. */
+    private static final long MAX_ORDINARY_BYTES = 256 * 1024;
+    /** Estimated heap of a connection without requests. */
+    private static final long CONNECTION_BYTES = 4 * 1024;
+    /** Estimated heap of a request beside its headers and body. */
+    private static final long REQUEST_BYTES = 2 * 1024;
     /** Time for the caller to receive the last response and to close the connection. */
     private static final long LINGER_MILLIS = 5_000;
+    /** The same after a refusal, or while the caller goes on sending what nobody reads. */
+    private static final long REFUSED_LINGER_MILLIS = 2_000;
+    /** Delay before a caller that was refused may retry. A caller honours up to a third of the time it has left. */
+    private static final long RETRY_DELAY_MILLIS = 250;
 
     private final RequestComponents components;
     private final CallerServer server;
+    private final CallerResources resources;
+    private final Object address;
+    private final CallerMemory.Holder heapHolder;
+    private final CallerMemory.Holder largeBodyHolder;
+    private final CallerRequestAggregator aggregator;
     private final Deque<PendingRequest> pendingRequests = new ArrayDeque<>();
+    private ClientHttpCodec codec;
     private ChannelHandlerContext context;
     private boolean closing;
+    /** Whether further input is discarded, because a request was refused. */
+    private boolean inputDiscarded;
+    /** Whether reading stopped until requests have responses that the caller reads. */
+    private boolean paused;
     /** Closes the connection if the caller does not; set once the last response was written. */
     private ScheduledFuture<?> lingerTimer;
 
-    private long lastReadAt;
+    private long lastActiveAt;
+    private boolean requestCompleted;
+    private final RequestReceipt receipt;
+    private final UnreadResponses unread;
 
-    CallerConnection(RequestComponents components, CallerServer server) {
+    /**
+     * Creates the handler of a connection.
+     *
+     * @param address the remote address without the port
+     */
+    CallerConnection(RequestComponents components, CallerServer server, CallerResources resources, Object address) {
         this.components = components;
         this.server = server;
+        this.resources = resources;
+        this.address = address;
+        heapHolder = resources.heap().open(address, this);
+        largeBodyHolder = resources.largeBodies().open(address, this);
+        receipt = new RequestReceipt(heapHolder);
+        unread = new UnreadResponses(heapHolder);
+        aggregator = new CallerRequestAggregator(this, components.routing(), resources.limits());
+        lastActiveAt = resources.now();
+    }
+
+    /** Takes a place among the connections; returns false if there is none. */
+    boolean tryOpen() {
+        if (!resources.connections().tryOpen(this)) {
+            resources.recordRefusal(CallerRefusal.CONNECTIONS, address);
+            return false;
+        }
+        if (!heapHolder.tryReserve(MemoryUse.CONNECTION, CONNECTION_BYTES, true)) {
+            resources.connections().close(this);
+            resources.recordRefusal(CallerRefusal.MEMORY, address);
+            return false;
+        }
+        return true;
+    }
+
+    /** Adds the handlers of the connection. */
+    void addHandlers(ChannelPipeline pipeline, HttpDecoderConfig decoder) {
+        codec = new ClientHttpCodec(decoder, this);
+        pipeline.addLast(new ClientReadGate(this::onBytesReceived), codec, aggregator, this);
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext newContext) {
         context = newContext;
-        lastReadAt = components.clock().millis();
         server.onConnectionOpened(this);
     }
 
+    CallerRequestMemory newRequestMemory() {
+        return new CallerRequestMemory(heapHolder, largeBodyHolder);
+    }
+
+    /** Returns the estimated heap of a request without its body. */
+    long headCost(HttpRequest request) {
+        return REQUEST_BYTES + ClientHttpCodec.headCost(request.headers().size(), codec.lastHeadBytes());
+    }
+
+    /** Returns whether a request of this size is as small as that of an ordinary caller. */
+    boolean isOrdinary(long bytes) {
+        return pendingRequests.isEmpty() && bytes <= MAX_ORDINARY_BYTES;
+    }
+
+    private void onBytesReceived(int bytes) {
+        lastActiveAt = resources.now();
+        receipt.onBytes(bytes, lastActiveAt);
+    }
+
+    void onHeadReceived() {
+        receipt.startBody(resources.now());
+    }
+
+    /** The rest of a body that was not kept has arrived. */
+    void onDiscarded() {
+        receipt.end();
+    }
+
+    void onReadComplete() {
+        if (discardsInput()) {
+            return;
+        }
+        long cost = codec.partialHeadCost();
+        if (!receipt.tryReserveHead(cost, isOrdinary(cost))) {
+            refuse(CallerRefusal.MEMORY, null);
+        } else if (cost > 0) {
+            receipt.startHead(resources.now());
+        } else if (!aggregator.isReceivingBody() && !aggregator.isDiscardingBody()) {
+            receipt.end();
+        }
+    }
+
+    @Override
+    public boolean acceptsRequest() {
+        return pendingRequests.size() < MAX_PIPELINED
+                && heapHolder.heldBytes(MemoryUse.FORWARDED) + largeBodyHolder.heldBytes(MemoryUse.FORWARDED)
+                        < MAX_PIPELINED_BYTES
+                && heapHolder.heldBytes(MemoryUse.WAITING) + largeBodyHolder.heldBytes(MemoryUse.WAITING)
+                        < MAX_PIPELINED_BYTES
+                && unread.waitingBytes() < MAX_PIPELINED_BYTES
+                && context.channel().isWritable()
+                && !server.readingStopped();
+    }
+
+    @Override
+    public void onDeclined() {
+        paused = true;
+        context.channel().config().setAutoRead(false);
+    }
+
+    @Override
+    public boolean discardsInput() {
+        return closing || inputDiscarded;
+    }
+
+    private void resumeReading() {
+        if (paused && (discardsInput() || acceptsRequest()) && !server.readingStopped()) {
+            paused = false;
+            context.channel().config().setAutoRead(true);
+            codec.resume();
+        }
+    }
+
+    /** Handles a request that was rejected or is malformed. */
     @Override
     protected void channelRead0(ChannelHandlerContext ignored, FullHttpRequest message) {
-        if (closing) {
+        if (closing || inputDiscarded) {
             return;
         }
-        lastReadAt = components.clock().millis();
-        if (message.decoderResult().isFailure()) {
-            Throwable cause = message.decoderResult().cause();
-            boolean bodySkipped = cause instanceof CallerRequestAggregator.RejectedRequestException;
-            PendingRequest rejected = new PendingRequest(bodySkipped && HttpUtil.isKeepAlive(message), message);
-            pendingRequests.addLast(rejected);
-            rejected.write(decodeErrorStatus(cause), new DefaultHttpHeaders(), new byte[0]);
+        Throwable cause = message.decoderResult().cause();
+        boolean bodySkipped = cause instanceof CallerRequestAggregator.RejectedRequestException;
+        PendingRequest rejected = new PendingRequest(bodySkipped && HttpUtil.isKeepAlive(message), message);
+        pendingRequests.addLast(rejected);
+        rejected.write(CallerRequestAggregator.rejectionStatus(cause), new DefaultHttpHeaders(), new byte[0]);
+    }
+
+    /**
+     * Handles a request.
+     *
+     * @param body the body; its reference belongs to this connection
+     * @param bodyDiscarded whether the body was not kept
+     */
+    void receive(HttpRequest message, ByteBuf body, CallerRequestMemory memory, boolean bodyDiscarded) {
+        if (!bodyDiscarded) {
+            receipt.end();
+        }
+        if (closing || inputDiscarded) {
+            body.release();
+            memory.releaseHead();
             return;
         }
+        requestCompleted = true;
         CallerRequest request = new CallerRequest(
-                message.method(),
-                message.uri(),
-                message.headers(),
-                ByteBufUtil.getBytes(message.content()),
-                lastReadAt);
+                message.method(), message.uri(), message.headers(), body, resources.now(), bodyDiscarded);
         PendingRequest pending = new PendingRequest(HttpUtil.isKeepAlive(message), message);
+        pending.request = request;
+        pending.memory = memory;
+        memory.moveTo(MemoryUse.WAITING);
         pendingRequests.addLast(pending);
-        if (pendingRequests.size() >= MAX_PIPELINED) {
-            context.channel().config().setAutoRead(false);
+        if (!acceptsRequest()) {
+            onDeclined();
         }
         pending.forwarder = new RequestForwarder(components, request, pending);
         if (pendingRequests.stream().noneMatch(PendingRequest::isOpen)) {
@@ -103,17 +254,135 @@
         }
     }
 
-    private static int decodeErrorStatus(Throwable cause) {
-        if (cause instanceof CallerRequestAggregator.RejectedRequestException rejection) {
-            return rejection.status();
+    /**
+     * Refuses the request that is being received, without having passed it on. No further request is read.
+     *
+     * @param request the head of the request, or null if it is not complete
+     */
+    void refuse(CallerRefusal refusal, HttpRequest request) {
+        if (closing || inputDiscarded) {
+            return;
+        }
+        resources.recordRefusal(refusal, address);
+        inputDiscarded = true;
+        receipt.end();
+        aggregator.abandon();
+        receipt.tryReserveHead(0, true);
+        PendingRequest refused = new PendingRequest(false, request);
+        pendingRequests.addLast(refused);
+        HeaderNames names = components.adapter().headers();
+        String requestId = request == null ? "" : request.headers().get(names.requestId(), "");
+        String text = "refused before it ran: " + refusal.label();
+        LocalResponse.send(refused, names, requestId, refusal.status().code(), text, RETRY_DELAY_MILLIS);
+        resumeReading();
+    }
+
+    /** Discards all further input and closes the connection after the responses to the requests that were read. */
+    void closeAfterOpenRequests() {
+        inputDiscarded = true;
+        receipt.end();
+        if (pendingRequests.isEmpty() && !closing) {
+            closing = true;
+            closeAfterLastResponse();
+        } else if (!pendingRequests.isEmpty()) {
+            pendingRequests.peekLast().keepAlive = false;
         }
-        if (cause instanceof TooLongHttpHeaderException) {
-            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE.code();
+    }
+
+    /** Refuses a request, or closes the connection, if the caller exceeds a time limit. */
+    void checkDeadlines(CallerLimits limits) {
+        long now = resources.now();
+        updateUnread();
+        if (closing) {
+            return;
         }
-        if (cause instanceof TooLongFrameException) {
-            return HttpResponseStatus.REQUEST_URI_TOO_LONG.code();
+        resumeReading();
+        if (unread.isOverdue(limits.idleTimeoutMillis(), now)) {
+            closeAtOnce(CallerRefusal.UNREAD_RESPONSE);
+        } else if (paused) {
+            // The caller cannot send, because this instance does not read.
+            receipt.restart(now);
+        } else if (receipt.isHeadOverdue(limits.headerTimeoutMillis(), now)) {
+            refuse(CallerRefusal.HEADER_TIMEOUT, null);
+        } else if (receipt.isBodyOverdue(limits.idleTimeoutMillis(), now)) {
+            handleSlowBody();
+        } else if (pendingRequests.isEmpty()
+                && !receipt.isOpen()
+                && unread.isEmpty()
+                && now - lastActiveAt >= limits.idleTimeoutMillis()) {
+            context.close();
+        }
+    }
+
+    private void handleSlowBody() {
+        if (aggregator.isReceivingBody()) {
+            refuse(CallerRefusal.BODY_TIMEOUT, aggregator.head());
+        } else {
+            closeAfterOpenRequests();
+        }
+    }
+
+    private void closeAtOnce(CallerRefusal reason) {
+        resources.recordRefusal(reason, address);
+        context.close();
+    }
+
+    @Override
+    public long slowMillis() {
+        return Math.max(slowSendMillis(), slowReadMillis());
+    }
+
+    private long slowSendMillis() {
+        boolean droppable = !paused && (receipt.holdsHead() || aggregator.isReceivingBody());
+        return droppable ? receipt.slowMillis(resources.now()) : NOT_DROPPABLE;
+    }
+
+    private long slowReadMillis() {
+        return unread.slowMillis(resources.now());
+    }
+
+    @Override
+    public void drop() {
+        if (slowReadMillis() >= slowSendMillis()) {
+            closeAtOnce(CallerRefusal.UNREAD_RESPONSE);
+        } else {
+            refuse(CallerRefusal.SLOWEST, aggregator.head());
+        }
+    }
+
+    @Override
+    public ConnectionBudget.Activity activity() {
+        if (closing || inputDiscarded) {
+            return ConnectionBudget.Activity.ENDING;
+        }
+        if (pendingRequests.stream().anyMatch(pending -> pending.head == null)) {
+            return ConnectionBudget.Activity.BUSY;
+        }
+        boolean idle = requestCompleted && !receipt.isOpen() && unread.isEmpty();
+        return idle ? ConnectionBudget.Activity.IDLE : ConnectionBudget.Activity.UNPROVEN;
+    }
+
+    @Override
+    public long waitingMillis() {
+        long slowMillis = slowMillis();
+        return slowMillis == NOT_DROPPABLE ? resources.now() - lastActiveAt : slowMillis;
+    }
+
+    @Override
+    public Object address() {
+        return address;
+    }
+
+    @Override
+    public void closeForAnother() {
+        closeAtOnce(CallerRefusal.REPLACED);
+    }
+
+    /** Adjusts the reserved memory to the responses that are unread. */
+    private void updateUnread() {
+        if (!unread.update(context.channel(), resources.now()) && unread.reservedBytes() > MAX_PIPELINED_BYTES) {
+            closeAtOnce(CallerRefusal.UNREAD_RESPONSE);
         }
-        return HttpResponseStatus.BAD_REQUEST.code();
     }
 
     /** Writes what is ready of the responses, in the order of the requests. */
@@ -133,18 +402,20 @@
                 break;
             }
             pendingRequests.pollFirst();
-            if (closing) {
+            first.releaseRequest();
+            if (closing || inputDiscarded && pendingRequests.isEmpty()) {
+                closing = true;
                 closeAfterLastResponse();
                 return;
             }
             startWaitingRequests();
         }
         if (written) {
+            lastActiveAt = resources.now();
             context.flush();
-            if (!closing && pendingRequests.size() < MAX_PIPELINED && !server.readingStopped()) {
-                context.channel().config().setAutoRead(true);
-            }
+            resumeReading();
         }
+        updateUnread();
     }
 
     /**
@@ -152,10 +423,14 @@
      * connection, and the caller would lose what it has not received yet.
      */
     private void closeAfterLastResponse() {
-        lingerTimer = context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        long millis = inputDiscarded ? REFUSED_LINGER_MILLIS : LINGER_MILLIS;
+        lingerTimer = context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
         context.channel().config().setAutoRead(true);
+        codec.resume();
         context.writeAndFlush(Unpooled.EMPTY_BUFFER)
                 .addListener(written -> ((DuplexChannel) context.channel()).shutdownOutput());
+        receipt.tryReserveHead(0, true);
+        updateUnread();
     }
 
     private void startWaitingRequests() {
@@ -189,6 +464,9 @@
         if (first != null && first.started && context.channel().isWritable()) {
             first.onWritable.run();
         }
+        if (!closing) {
+            resumeReading();
+        }
     }
 
     /** Stops reading and closes the connection after the response to the last request that was read. */
@@ -218,17 +496,6 @@
         return !pendingRequests.isEmpty() || lingerTimer != null;
     }
 
-    @Override
-    public void userEventTriggered(ChannelHandlerContext ignored, Object event) {
-        // The event handler uses the timeout that was configured when the connection was opened.
-        long idleMillis = components.clock().millis() - lastReadAt;
-        if (event instanceof IdleStateEvent
-                && pendingRequests.isEmpty()
-                && idleMillis >= components.routing().callerLimits().idleTimeoutMillis()) {
-            context.close();
-        }
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
@@ -237,21 +504,31 @@
         }
         server.onConnectionClosed(this);
         abandonPendingRequests();
+        aggregator.abandon();
+        receipt.tryReserveHead(0, true);
+        unread.release();
+        heapHolder.release(MemoryUse.CONNECTION, CONNECTION_BYTES);
+        resources.connections().close(this);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ignored, Throwable cause) {
         context.close();
+        if (!(cause instanceof IOException)) {
+            resources.recordFault(cause, address);
+        }
     }
 
     /** One request, its position in the order of the responses, and the output that waits for that position. */
     private final class PendingRequest implements ResponseWriter, ResponseBodyWriter {
-        private final boolean keepAlive;
+        private boolean keepAlive;
         private final boolean headRequest;
         private final boolean acceptsChunks;
         private final Deque<HttpObject> output = new ArrayDeque<>();
         private HttpResponse head;
         private RequestForwarder forwarder;
+        private CallerRequest request;
+        private CallerRequestMemory memory;
         private Runnable onWritable = () -> {};
         private boolean forwarding;
         private boolean started;
@@ -260,14 +537,44 @@
 
         PendingRequest(boolean keepAlive, HttpRequest request) {
             this.keepAlive = keepAlive;
-            this.headRequest = request.method().equals(HttpMethod.HEAD);
-            this.acceptsChunks = request.protocolVersion().isKeepAliveDefault();
+            this.headRequest = request != null && request.method().equals(HttpMethod.HEAD);
+            this.acceptsChunks = request != null && request.protocolVersion().isKeepAliveDefault();
+        }
+
+        /** Releases the request, which is not attempted again. */
+        private void releaseRequest() {
+            if (memory != null) {
+                request.body().release();
+                memory.releaseHead();
+                memory = null;
+            }
+        }
+
+        /**
+         * Releases the request of a caller that left. One that may run only once goes on at its server, and its
+         * headers stay in memory for about the time limit of its route.
+         */
+        private void releaseAbandonedRequest() {
+            RoutingConfig config = components.routing().config();
+            HostRoute route = !forwarding || config == null
+                    ? null
+                    : config.route(request.headers().get(HttpHeaderNames.HOST), request.path())
+                            .orElse(null);
+            if (route == null || route.kind().repeatable()) {
+                releaseRequest();
+            } else {
+                CallerRequestMemory held = memory;
+                memory = null;
+                request.body().release();
+                context.executor().schedule(held::releaseHead, route.timeoutMillis(), TimeUnit.MILLISECONDS);
+            }
         }
 
         /** Starts to process the request, unless that was done or a response is known already. */
         private void start() {
             if (!forwarding && forwarder != null && head == null && !disconnected) {
                 forwarding = true;
+                memory.moveTo(MemoryUse.FORWARDED);
                 forwarder.start();
             }
         }
@@ -283,7 +590,9 @@
 
         private void writeOutput() {
             while (!output.isEmpty()) {
-                context.write(output.pollFirst(), context.voidPromise());
+                HttpObject part = output.pollFirst();
+                unread.recordWritten(part);
+                context.write(part, context.voidPromise());
             }
             if (!ended && isWritable()) {
                 onWritable.run();
@@ -292,11 +601,21 @@
 
         private void handleDisconnect() {
             disconnected = true;
-            output.forEach(ReferenceCountUtil::release);
-            output.clear();
+            discardOutput();
             if (forwarder != null) {
                 forwarder.onCallerDisconnect();
             }
+            if (memory != null) {
+                releaseAbandonedRequest();
+            }
+        }
+
+        private void discardOutput() {
+            for (HttpObject part : output) {
+                unread.removeWaiting(part);
+                ReferenceCountUtil.release(part);
+            }
+            output.clear();
         }
 
         private void add(HttpObject part) {
@@ -304,6 +623,7 @@
                 ReferenceCountUtil.release(part);
             } else {
                 output.addLast(part);
+                unread.addWaiting(part);
                 writeReadyResponses();
             }
         }
@@ -367,8 +687,7 @@
                 context.close();
                 return false;
             }
-            output.forEach(ReferenceCountUtil::release);
-            output.clear();
+            discardOutput();
             return true;
         }
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerRequest.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerRequest.java
@@ -20,10 +20,13 @@
  * @param method the HTTP method
  * @param uri the path and query as received
  * @param headers all headers as received
- * @param body the body without transfer coding
+ * @param body the body without transfer coding; valid until the request has a response or its caller left
  * @param receivedAt time when the request was complete, by the monotonic clock in milliseconds
+ * @param bodyDiscarded whether the body was not kept because no route matched when the headers arrived; such a
+ *     request must not be forwarded
  */
-record CallerRequest(HttpMethod method, String uri, HttpHeaders headers, byte[] body, long receivedAt) {
+record CallerRequest(
+        HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, long receivedAt, boolean bodyDiscarded) {
 
     /** Headers that are not forwarded because they apply to one connection only (RFC 9110, section 7.6.1). */
     private static final Set<String> HOP_BY_HOP_HEADERS = Set.of(
@@ -51,6 +54,11 @@
 
     /** Returns the URI without query and fragment. */
     String path() {
+        return path(uri);
+    }
+
+    /** Returns a URI without query and fragment. */
+    static String path(String uri) {
         int end = 0;
         while (end < uri.length() && uri.charAt(end) != '?' && uri.charAt(end) != '#') {
             end++;
@@ -60,11 +68,12 @@
 
     /** Creates the request for a backend server, with the same method, URI, body and end-to-end headers. */
     FullHttpRequest toBackendRequest() {
-        ByteBuf content = body.length == 0 ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body);
+        int length = body.readableBytes();
+        ByteBuf content = length == 0 ? Unpooled.EMPTY_BUFFER : body.retainedDuplicate();
         FullHttpRequest forwarded = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, content);
         copyEndToEndHeaders(headers, forwarded.headers());
-        if (body.length > 0 || !(method.equals(HttpMethod.GET) || method.equals(HttpMethod.HEAD))) {
-            forwarded.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        if (length > 0 || !(method.equals(HttpMethod.GET) || method.equals(HttpMethod.HEAD))) {
+            forwarded.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, length);
         }
         return forwarded;
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerServer.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerServer.java
@@ -4,10 +4,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -15,8 +15,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.timeout.IdleStateHandler;
 import org.jackdawslip.ErrorCode;
 import org.jackdawslip.JackdawslipException;
 import org.jackdawslip.internal.traffic.CallerLimits;
@@ -24,8 +22,16 @@
 /** Accepts connections of callers. Confined to the event loop except {@link #start} and {@link #bind}. */
 final class CallerServer {
 
-    /** Maximum size of a request body, whatever the configuration permits; the body is buffered in memory. */
-    private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+    /** Interval between checks of the time limits of callers. */
+    private static final long DEADLINE_CHECK_INTERVAL_MILLIS = 250;
+    /**
+     * Sizes of the buffer into which a connection reads. A part of it may stay in memory with the start of a request,
+     * so it is smaller than the 64 KB that Netty permits.
+     */
+    private static final int MIN_READ_BYTES = 64;
+
+    private static final int INITIAL_READ_BYTES = 2 * 1024;
+    private static final int MAX_READ_BYTES = 16 * 1024;
     /** Limit of connections that wait in the operating system to be accepted. */
     private static final int ACCEPT_BACKLOG = 1_024;
 
@@ -34,14 +40,16 @@
 
     private final EventLoopGroup loop;
     private final RequestComponents components;
+    private final CallerResources resources;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listener;
     private boolean keepAliveDisabled;
     private boolean readingStopped;
 
-    CallerServer(EventLoopGroup loop, RequestComponents components) {
+    CallerServer(EventLoopGroup loop, RequestComponents components, CallerResources resources) {
         this.loop = loop;
         this.components = components;
+        this.resources = resources;
     }
 
     /**
@@ -49,7 +57,8 @@
      *
      * @throws JackdawslipException with {@link ErrorCode#ADDRESS_IN_USE} if the address cannot be bound
      */
-    void start(InetSocketAddress address) {
+    void start(InetSocketAddress address, GatewayContext context) {
+        context.every(DEADLINE_CHECK_INTERVAL_MILLIS, "caller-deadlines", this::checkDeadlines);
         listener = bind(loop, address, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -73,6 +82,9 @@
                     .option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true)
                     .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                    .childOption(
+                            ChannelOption.RECVBUF_ALLOCATOR,
+                            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
                     .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNSENT_BYTES)
                     .childHandler(initializer)
                     .bind(address)
@@ -85,16 +97,26 @@
     }
 
     private void accept(Channel channel) {
+        CallerConnection connection = new CallerConnection(components, this, resources, addressOf(channel));
+        if (!connection.tryOpen()) {
+            channel.close();
+            return;
+        }
         CallerLimits limits = components.routing().callerLimits();
         HttpDecoderConfig decoder = new HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.maxHeaderBytes())
                 .setMaxHeaderSize(limits.maxHeaderBytes());
-        channel.pipeline()
-                .addLast(
-                        new HttpServerCodec(decoder),
-                        new CallerRequestAggregator((int) Math.min(MAX_BODY_BYTES, limits.maxBodyBytes())),
-                        new IdleStateHandler(limits.idleTimeoutMillis(), 0, 0, TimeUnit.MILLISECONDS),
-                        new CallerConnection(components, this));
+        connection.addHandlers(channel.pipeline(), decoder);
+    }
+
+    /** Returns the remote address of a connection without its port. */
+    static Object addressOf(Channel channel) {
+        return channel.remoteAddress() instanceof InetSocketAddress remote ? remote.getAddress() : "unknown";
+    }
+
+    private void checkDeadlines() {
+        CallerLimits limits = components.routing().callerLimits();
+        List.copyOf(connections).forEach(connection -> connection.checkDeadlines(limits));
     }
 
     void onConnectionOpened(CallerConnection connection) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.jackdawslip.internal.balance.Balancer;
 import org.jackdawslip.internal.concurrent.Clocks;
 import org.jackdawslip.internal.keyspace.KeyMoveAnnouncement;
+import org.jackdawslip.internal.limits.ClientLimits;
 import org.jackdawslip.internal.logging.AsyncLineWriter;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
@@ -75,9 +76,13 @@
     private final KeyCoordinatorRole keyCoordinatorRole;
     private final PeerExchange peers;
     private final CallerServer callerServer;
+    private final ClientLimits clientLimits;
     private final PlatformAdapter adapter;
     private final PlannedStop plannedStop = new PlannedStop();
     private boolean established;
+    /** Time when the next check of the delay of the event loop is due; 0 before the first check. */
+    private long loopCheckDueAt;
+
     private boolean stopping;
     private long stopStartedAt;
     private Runnable whenStopped;
@@ -134,7 +139,11 @@
         Balancer balancer = new Balancer(settings.domain(), random);
         RequestComponents components = new RequestComponents(
                 loop, clock, log, adapter, routing, directory, balancer, peers, metrics, plannedStop);
-        callerServer = new CallerServer(group, components);
+        CallerResources resources =
+                new CallerResources(CallerResources.limitsOf(settings.instanceLimits()), clock, log, metrics);
+        callerServer = new CallerServer(group, components, resources);
+        resources.registerGauges();
+        clientLimits = resources.limits();
     }
 
     private InternalHttpClient storeClient(int connections) {
@@ -147,32 +156,34 @@
      * @throws JackdawslipException with {@link ErrorCode#ADDRESS_IN_USE} if an address cannot be bound
      */
     public void start() {
-        StatusServer.start(group, address(settings.readinessAddress()), path -> readiness());
-        StatusServer.start(
-                group, address(settings.metricsAddress()), path -> new StatusServer.Page(200, metrics.scrape()));
-        callerServer.start(address(settings.callerAddress()));
+        StatusServer readiness = new StatusServer(context, "ready", clientLimits, path -> readiness());
+        readiness.start(group, address(settings.readinessAddress()), metrics);
+        StatusServer metricsServer = new StatusServer(
+                context, "metrics", clientLimits, path -> new StatusServer.Page(200, metrics.scrape()));
+        metricsServer.start(group, address(settings.metricsAddress()), metrics);
+        callerServer.start(address(settings.callerAddress()), context);
         peers.start(address(settings.peerAddress()));
-        relay.start(group, address(settings.peerAddress()));
+        relay.start(group, address(settings.peerAddress()), clientLimits.peerConnections());
         registerGauges();
         loop.execute(() -> {
             log.info("started", "domain", settings.domain(), "store", settings.storeAddress());
             view.start();
-            memberListings.register();
+            memberListings.start();
             keyCoordinatorRole.start();
-            checkLoopDelay(clock.millis());
         });
+        context.every(LOOP_CHECK_INTERVAL_MILLIS, "loop-delay", this::checkLoopDelay);
         context.every(CONNECTION_EXPIRY_INTERVAL_MILLIS, "connections", directory::closeExpiredConnections);
         context.every(ESTABLISHED_CHECK_INTERVAL_MILLIS, "standing", this::logEstablishedChange);
     }
 
     /** Logs if the event loop ran this task late. */
-    private void checkLoopDelay(long dueAt) {
-        long lateMillis = clock.millis() - dueAt;
+    private void checkLoopDelay() {
+        long now = clock.millis();
+        long lateMillis = loopCheckDueAt == 0 ? 0 : now - loopCheckDueAt;
+        loopCheckDueAt = now + LOOP_CHECK_INTERVAL_MILLIS;
         if (lateMillis > ChangeTimeBudget.EVENT_LOOP_DELAY_MILLIS) {
             log.info("loop-late", "lateMillis", lateMillis);
         }
-        long nextAt = clock.millis() + LOOP_CHECK_INTERVAL_MILLIS;
-        loop.schedule(() -> checkLoopDelay(nextAt), LOOP_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -117,7 +117,7 @@
             return;
         }
         route = config.route(request.headers().get("host"), request.path()).orElse(null);
-        if (route == null) {
+        if (route == null || request.bodyDiscarded()) {
             refuse(ErrorCode.UNKNOWN_SERVICE, "no route for this host and path");
             return;
         }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StoreRelay.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StoreRelay.java
@@ -53,6 +53,7 @@
     private final ViewFeed feed;
     private final BooleanSupplier storeServesInstance;
     private final ValueCompressor compressor = new ValueCompressor();
+    private int openConnections;
     private int callsInFlight;
     private long relayedCalls;
 
@@ -74,11 +75,21 @@
         this.storeServesInstance = storeServesInstance;
     }
 
-    /** Starts to accept calls on the address. */
-    void start(EventLoopGroup group, InetSocketAddress address) {
+    /**
+     * Starts to accept calls on the address.
+     *
+     * @param maxConnections limit of open connections; further ones are closed at once
+     */
+    void start(EventLoopGroup group, InetSocketAddress address, int maxConnections) {
         CallerServer.bind(group, address, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
+                if (openConnections >= maxConnections) {
+                    channel.close();
+                    return;
+                }
+                openConnections++;
+                channel.closeFuture().addListener(closed -> openConnections--);
                 channel.pipeline()
                         .addLast(
                                 new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS),
