Leave descriptors for servers when callers pipeline requests

Cause: each request that is passed on may take a connection to a server, and a caller may have 32 of them on one connection, so callers with half of the descriptors could still take the rest through pipelined requests.

A connection that failed before its handlers were added gives its place back.

Result: ClientLimitsTest checks the sum for 400, 1,024 and 4,100 descriptors.

--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/limits/ClientLimitsTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/limits/ClientLimitsTest.java
@@ -15,7 +15,8 @@
         for (int descriptors : new int[] {400, 1_024, 4_100}) {
             ClientLimits limits = ClientLimits.derive(descriptors, 330 * MEGABYTE, 62 * MEGABYTE, 96 * MEGABYTE);
             int incoming = limits.callerConnections() + limits.peerConnections() + 2 * limits.statusConnections();
-            assertTrue(incoming <= (descriptors - 200) * 3 / 4 + 1, descriptors + " descriptors");
+            int toServers = limits.callerConnections() + limits.pipelinedRequests();
+            assertTrue(incoming + toServers <= (descriptors - 200) * 0.9, descriptors + " descriptors");
         }
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerConnection.java
@@ -8,6 +8,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -72,6 +73,7 @@
     private final RequestComponents components;
     private final CallerServer server;
     private final CallerResources resources;
+    private final Channel channel;
     private final Object address;
     private final CallerMemory.Holder heapHolder;
     private final CallerMemory.Holder largeBodyHolder;
@@ -92,16 +94,13 @@
     private final RequestReceipt receipt;
     private final UnreadResponses unread;
 
-    /**
-     * Creates the handler of a connection.
-     *
-     * @param address the remote address without the port
-     */
-    CallerConnection(RequestComponents components, CallerServer server, CallerResources resources, Object address) {
+    /** Creates the handler of a connection. */
+    CallerConnection(RequestComponents components, CallerServer server, CallerResources resources, Channel channel) {
         this.components = components;
         this.server = server;
         this.resources = resources;
-        this.address = address;
+        this.channel = channel;
+        this.address = CallerServer.addressOf(channel);
         heapHolder = resources.heap().open(address, this);
         largeBodyHolder = resources.largeBodies().open(address, this);
         receipt = new RequestReceipt(heapHolder);
@@ -121,6 +120,11 @@
             resources.recordRefusal(CallerRefusal.MEMORY, address);
             return false;
         }
+        // Handlers are not told of the end if the connection failed before they were added.
+        channel.closeFuture().addListener(closed -> {
+            heapHolder.release(MemoryUse.CONNECTION, CONNECTION_BYTES);
+            resources.connections().close(this);
+        });
         return true;
     }
 
@@ -180,20 +184,21 @@
 
     @Override
     public boolean acceptsRequest() {
-        return pendingRequests.size() < MAX_PIPELINED
+        return (pendingRequests.isEmpty() || resources.mayPipeline())
+                && pendingRequests.size() < MAX_PIPELINED
                 && heapHolder.heldBytes(MemoryUse.FORWARDED) + largeBodyHolder.heldBytes(MemoryUse.FORWARDED)
                         < MAX_PIPELINED_BYTES
                 && heapHolder.heldBytes(MemoryUse.WAITING) + largeBodyHolder.heldBytes(MemoryUse.WAITING)
                         < MAX_PIPELINED_BYTES
                 && unread.waitingBytes() < MAX_PIPELINED_BYTES
-                && context.channel().isWritable()
+                && channel.isWritable()
                 && !server.readingStopped();
     }
 
     @Override
     public void onDeclined() {
         paused = true;
-        context.channel().config().setAutoRead(false);
+        channel.config().setAutoRead(false);
     }
 
     @Override
@@ -204,7 +209,7 @@
     private void resumeReading() {
         if (paused && (discardsInput() || acceptsRequest()) && !server.readingStopped()) {
             paused = false;
-            context.channel().config().setAutoRead(true);
+            channel.config().setAutoRead(true);
             codec.resume();
         }
     }
@@ -310,7 +315,7 @@
                 && !receipt.isOpen()
                 && unread.isEmpty()
                 && now - lastActiveAt >= limits.idleTimeoutMillis()) {
-            context.close();
+            channel.close();
         }
     }
 
@@ -324,12 +329,12 @@
 
     private void closeAtOnce(CallerRefusal reason) {
         resources.recordRefusal(reason, address);
-        context.close();
+        channel.close();
     }
 
     @Override
     public long slowMillis() {
-        return Math.max(slowSendMillis(), slowReadMillis());
+        return Math.max(slowSendMillis(), unread.slowMillis(resources.now()));
     }
 
     private long slowSendMillis() {
@@ -337,13 +342,9 @@
         return droppable ? receipt.slowMillis(resources.now()) : NOT_DROPPABLE;
     }
 
-    private long slowReadMillis() {
-        return unread.slowMillis(resources.now());
-    }
-
     @Override
     public void drop() {
-        if (slowReadMillis() >= slowSendMillis()) {
+        if (unread.slowMillis(resources.now()) >= slowSendMillis()) {
             closeAtOnce(CallerRefusal.UNREAD_RESPONSE);
         } else {
             refuse(CallerRefusal.SLOWEST, aggregator.head());
@@ -380,7 +381,7 @@
 
     /** Adjusts the reserved memory to the responses that are unread. */
     private void updateUnread() {
-        if (!unread.update(context.channel(), resources.now()) && unread.reservedBytes() > MAX_PIPELINED_BYTES) {
+        if (!unread.update(channel, resources.now()) && unread.reservedBytes() > MAX_PIPELINED_BYTES) {
             closeAtOnce(CallerRefusal.UNREAD_RESPONSE);
         }
     }
@@ -424,11 +425,10 @@
      */
     private void closeAfterLastResponse() {
         long millis = inputDiscarded ? REFUSED_LINGER_MILLIS : LINGER_MILLIS;
-        lingerTimer = context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
-        context.channel().config().setAutoRead(true);
+        lingerTimer = context.executor().schedule(() -> channel.close(), millis, TimeUnit.MILLISECONDS);
+        channel.config().setAutoRead(true);
         codec.resume();
-        context.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                .addListener(written -> ((DuplexChannel) context.channel()).shutdownOutput());
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> ((DuplexChannel) channel).shutdownOutput());
         receipt.tryReserveHead(0, true);
         updateUnread();
     }
@@ -461,7 +461,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ignored) {
         PendingRequest first = pendingRequests.peekFirst();
-        if (first != null && first.started && context.channel().isWritable()) {
+        if (first != null && first.started && channel.isWritable()) {
             first.onWritable.run();
         }
         if (!closing) {
@@ -476,9 +476,9 @@
         }
         if (pendingRequests.isEmpty()) {
             closing = true;
-            context.close();
+            channel.close();
         } else {
-            context.channel().config().setAutoRead(false);
+            channel.config().setAutoRead(false);
         }
     }
 
@@ -507,13 +507,11 @@
         aggregator.abandon();
         receipt.tryReserveHead(0, true);
         unread.release();
-        heapHolder.release(MemoryUse.CONNECTION, CONNECTION_BYTES);
-        resources.connections().close(this);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ignored, Throwable cause) {
-        context.close();
+        channel.close();
         if (!(cause instanceof IOException)) {
             resources.recordFault(cause, address);
         }
@@ -547,6 +545,9 @@
                 request.body().release();
                 memory.releaseHead();
                 memory = null;
+                if (forwarding) {
+                    resources.recordEnd();
+                }
             }
         }
 
@@ -566,7 +567,11 @@
                 CallerRequestMemory held = memory;
                 memory = null;
                 request.body().release();
-                context.executor().schedule(held::releaseHead, route.timeoutMillis(), TimeUnit.MILLISECONDS);
+                Runnable end = () -> {
+                    held.releaseHead();
+                    resources.recordEnd();
+                };
+                context.executor().schedule(end, route.timeoutMillis(), TimeUnit.MILLISECONDS);
             }
         }
 
@@ -575,6 +580,7 @@
             if (!forwarding && forwarder != null && head == null && !disconnected) {
                 forwarding = true;
                 memory.moveTo(MemoryUse.FORWARDED);
+                resources.recordStart();
                 forwarder.start();
             }
         }
@@ -666,7 +672,7 @@
 
         @Override
         public boolean isWritable() {
-            return started && context.channel().isWritable();
+            return started && channel.isWritable();
         }
 
         @Override
@@ -684,7 +690,7 @@
         public boolean abandon() {
             onWritable = () -> {};
             if (started) {
-                context.close();
+                channel.close();
                 return false;
             }
             discardOutput();
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerResources.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerResources.java
@@ -19,6 +19,7 @@
     private final MonotonicClock clock;
     private final EventLog log;
     private final GatewayMetrics metrics;
+    private int openRequests;
 
     CallerResources(ClientLimits limits, MonotonicClock clock, EventLog log, GatewayMetrics metrics) {
         this.limits = limits;
@@ -45,6 +46,7 @@
         metrics.registerGauge("callers.connections.limit", connections::limit);
         metrics.registerGauge("callers.connections.replaced", connections::replaced);
         metrics.registerGauge("callers.connections.refused", connections::refused);
+        metrics.registerGauge("callers.requests.open", () -> openRequests);
         registerGauges("callers.memory", heap);
         registerGauges("callers.large.bodies", largeBodies);
         metrics.registerGauge("callers.memory.unread.bytes", () -> heap.reservedBytes(MemoryUse.RESPONSE));
@@ -58,6 +60,21 @@
         metrics.registerGauge(prefix + ".dropped", memory::drops);
     }
 
+    /** A request is passed on; it may take a connection to a server. */
+    void recordStart() {
+        openRequests++;
+    }
+
+    /** A request that was passed on has ended. */
+    void recordEnd() {
+        openRequests--;
+    }
+
+    /** Returns whether a connection that has an open request may pass on another one. */
+    boolean mayPipeline() {
+        return openRequests < limits.pipelinedRequests();
+    }
+
     /** Counts and logs that a request was refused or a connection closed to protect the instance. */
     void recordRefusal(CallerRefusal refusal, Object address) {
         String decision = refusal.status() == null ? "caller-closed" : "caller-refused";
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerServer.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/CallerServer.java
@@ -97,7 +97,7 @@
     }
 
     private void accept(Channel channel) {
-        CallerConnection connection = new CallerConnection(components, this, resources, addressOf(channel));
+        CallerConnection connection = new CallerConnection(components, this, resources, channel);
         if (!connection.tryOpen()) {
             channel.close();
             return;
