Send a request again to an owner that refused it with free slots

Cause: a server that answers 503 "not executed" to a part of its requests although it has free slots turned away the callers of its keys: no other server can take them.

Change: such a request is sent once more to the same owner, if it did not have to queue there and the retry budget has more than the half that is reserved for necessary retries. RequestRetries holds the use of the budget by one request.

Result: SheddingOwnerSessionTest failed before (503 instead of 200, one request instead of two) and passes; DuplicateRefusalTest passes.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/RetryBudget.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/balance/RetryBudget.java
@@ -48,12 +48,13 @@
     }
 
     /**
-     * Takes one extra attempt for a hedge, unless only the part that is reserved for retries would remain.
+     * Takes one extra attempt that may be left out, such as a hedge, unless only the part that is reserved for
+     * necessary retries would remain.
      *
      * @param share share of the allowance that this instance may use, from 0 to 1
-     * @return whether the hedged attempt is allowed
+     * @return whether the extra attempt is allowed
      */
-    public boolean tryHedge(long now, double share) {
+    public boolean tryOptional(long now, double share) {
         return tryTake(RESERVED_FOR_RETRIES_SHARE * total(now, share), now, share);
     }
 
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/hedging/HedgePolicy.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/hedging/HedgePolicy.java
@@ -84,7 +84,7 @@
         if (!limit.isAvailable(now)) {
             return HedgeDecision.LIMIT;
         }
-        if (!retryBudget.tryHedge(now, budgetShare)) {
+        if (!retryBudget.tryOptional(now, budgetShare)) {
             return HedgeDecision.RETRY_BUDGET;
         }
         limit.tryTake(now);
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/RetryBudgetTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/balance/RetryBudgetTest.java
@@ -84,7 +84,7 @@
     void hedgesLeaveHalfOfTheBudgetToRetries() {
         RetryBudget budget = new RetryBudget(0, 10, 10_000);
         int hedges = 0;
-        while (budget.tryHedge(0, 1)) {
+        while (budget.tryOptional(0, 1)) {
             hedges++;
         }
         assertEquals(5, hedges);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -20,7 +20,6 @@
 import org.jackdawslip.internal.balance.BackendTracker;
 import org.jackdawslip.internal.balance.LatencyEstimate;
 import org.jackdawslip.internal.balance.LoadReport;
-import org.jackdawslip.internal.balance.RetryBudget;
 import org.jackdawslip.internal.balance.SendDecision;
 import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.traffic.HostRoute;
@@ -73,6 +72,7 @@
     private ServiceName service;
     private ServerSelector serverSelector;
     private AttemptAdmission admission;
+    private RequestRetries retries;
     private long deadlineAt;
     /** Time by which the expected response exceeds its limit; determines the retry delay for the caller. */
     private double excessMillis;
@@ -140,6 +140,7 @@
             components.peers().recordKeyUse(service, keySlot);
         }
         requestLog.setContext(route, service, keySlot);
+        retries = new RequestRetries(components, service);
         serverSelector = new ServerSelector(components, route, serviceConfig, keySlot, request.transitBytes());
         deadlineTimer = schedule(this::handleDeadline, deadlineAt - now());
         hedgedAttempts = new HedgedAttempts(
@@ -148,7 +149,7 @@
     }
 
     private void startAdmitted() {
-        components.routing().retryBudget(service).recordRequest(now());
+        retries.recordRequest();
         hedgedAttempts.onRequestAdmitted();
         attemptNextServer();
     }
@@ -222,18 +223,8 @@
         }
     }
 
-    private boolean tryUseRetryBudget() {
-        RetryBudget budget = components.routing().retryBudget(service);
-        boolean permitted = budget.tryRetry(now(), components.routing().globalLimitShare());
-        if (!permitted) {
-            components.metrics().countDecision("retry-budget-empty", service.value());
-        }
-        return permitted;
-    }
-
     private void retry(String cause, Attempt failed) {
-        double remainingBudget = components.routing().remainingRetries(service, now());
-        requestLog.logRetry(failed.summary(), cause, now() - failed.sentAt, remainingBudget);
+        requestLog.logRetry(failed.summary(), cause, now() - failed.sentAt, retries.remaining());
         components.metrics().countDecision("retry", cause);
         attemptNextServer();
     }
@@ -255,11 +246,14 @@
         if (!openAttempts.isEmpty()) {
             return;
         }
-        if (keySlot >= 0 && misdirected && refusedAttempts < MAX_REFUSED_OWNER_ATTEMPTS && tryUseRetryBudget()) {
+        if (keySlot >= 0 && misdirected && refusedAttempts < MAX_REFUSED_OWNER_ATTEMPTS && retries.tryRetry()) {
             serverSelector.recordRejection();
             retry("not the owner", attempt);
-        } else if (keySlot < 0 && mayAttemptAgain() && tryUseRetryBudget()) {
+        } else if (keySlot < 0 && mayAttemptAgain() && retries.tryRetry()) {
             retry(misdirected ? "another server has the address" : "server full", attempt);
+        } else if (keySlot >= 0 && !misdirected && !attempt.queued && mayAttemptAgain() && retries.tryOptionalRetry()) {
+            // The queue of the owner was not the reason of the refusal, so the next attempt may be accepted.
+            retry("refused with free slots", attempt);
         } else {
             refuse(ErrorCode.BACKEND_REFUSED, "the backend server did not run it, status " + status);
         }
@@ -288,7 +282,7 @@
         if (!openAttempts.isEmpty()) {
             return;
         }
-        if (route.kind().repeatable() && mayAttemptAgain() && tryUseRetryBudget()) {
+        if (route.kind().repeatable() && mayAttemptAgain() && retries.tryRetry()) {
             retry(failure.name().toLowerCase(Locale.ROOT), attempt);
         } else {
             failWithUnknownOutcome(
@@ -300,7 +294,7 @@
         if (!openAttempts.isEmpty()) {
             return;
         }
-        if (route.kind().repeatable() && mayAttemptAgain() && tryUseRetryBudget()) {
+        if (route.kind().repeatable() && mayAttemptAgain() && retries.tryRetry()) {
             retry("status " + response.status().code(), attempt);
         } else if (BackendResponse.looksNotRun(response)) {
             failWithUnknownOutcome(
