Check configurations before they are put in force

Cause: the gateway reads a routing configuration without checks, so an operator learns of a route that never matches or of a quota without a burst only when requests fail. Change: config check reports errors, warnings and differences for a routing configuration and for a bundle.

--- a/jackdawslip-cli/src/main/java/org/jackdawslip/cli/CommandLine.java
+++ b/jackdawslip-cli/src/main/java/org/jackdawslip/cli/CommandLine.java
@@ -90,6 +90,7 @@
         addOutputOption(explainParser);
 
         addBundleCommands(commands, bundles);
+        addConfigCommands(commands, new ConfigCommands(out));
         addDomainCommands(commands, domains);
         addAdminCommands(commands, admin);
         return parser;
@@ -116,6 +117,27 @@
         addOutputOption(show);
     }
 
+    private static void addConfigCommands(Subparsers commands, ConfigCommands configurations) {
+        Subparsers group = addCommandGroup(commands, "config", "check a routing configuration or a bundle");
+        Subparser check = addCommand(
+                group,
+                "check",
+                "list errors, routes that never match, contradictory limits and differences",
+                configurations::check);
+        check.addArgument("file").metavar("NEW").help("routing configuration or bundle in JSON");
+        check.addArgument("--in-force").metavar("OLD").help("the version in force, to list the differences from");
+        check.addArgument("--memory-mb")
+                .type(Integer.class)
+                .setDefault(ConfigCommands.DEFAULT_MEMORY_MEGABYTES)
+                .metavar("MB")
+                .help("memory of the smallest instance");
+        check.addArgument("--servers")
+                .action(Arguments.append())
+                .metavar("SERVICE=NUMBER")
+                .help("number of backend servers of a service; may be repeated");
+        addOutputOption(check);
+    }
+
     private static void addDomainCommands(Subparsers commands, DomainCommands domains) {
         Subparsers group = addCommandGroup(commands, "domain", "take failure domains out and bring them back");
         Subparser takeOut = addCommand(group, "take-out", "give a failure domain no new work", domains::takeOut);
--- a/jackdawslip-cli/src/test/java/org/jackdawslip/cli/CommandLineTest.java
+++ b/jackdawslip-cli/src/test/java/org/jackdawslip/cli/CommandLineTest.java
@@ -64,6 +64,35 @@
         assertTrue(result.err.contains("$.services[0].queueLimit"), result.err);
     }
 
+    /** Guards against faults that pass the check of a bundle, and differences that are not reported. */
+    @Test
+    void configCheckReportsFaultsAndDifferencesOfABundle() throws IOException {
+        write("old.json", bundleJson(1, 10));
+        write("new.json", bundleJson(2, 20));
+        Result valid = run("config", "check", file("new.json"), "--in-force", file("old.json"));
+        assertExit(ExitCode.OK, valid);
+        assertTrue(valid.out.contains("0 errors, 0 warnings"), valid.out);
+        assertTrue(valid.out.contains("version: 1 becomes 2"), valid.out);
+        assertTrue(valid.out.contains(".queueLimit: 10 becomes 20"), valid.out);
+        Result older = run("config", "check", file("old.json"), "--in-force", file("new.json"), "--output", "json");
+        assertExit(ExitCode.BAD_INPUT, older);
+        assertTrue(older.out.contains("1 is not above 2, which is in force"), older.out);
+        write("bad.json", BUNDLE_TEMPLATE.replace("VERSION", "0").replace("LIMIT", "-1"));
+        Result result = run("config", "check", file("bad.json"));
+        assertExit(ExitCode.BAD_INPUT, result);
+        assertTrue(result.out.contains("error $.version"), result.out);
+        assertTrue(result.out.contains("error $.services[0].queueLimit"), result.out);
+    }
+
+    /** Guards against a file that is checked against nothing and reported as valid. */
+    @Test
+    void configCheckRejectsWhatIsNoConfiguration() throws IOException {
+        write("other.json", "{}");
+        assertExit(ExitCode.BAD_INPUT, run("config", "check", file("other.json")));
+        write("text.json", "no JSON");
+        assertExit(ExitCode.BAD_INPUT, run("config", "check", file("text.json")));
+    }
+
     /** Guards against concurrent rollouts of the same version that are both reported as successful. */
     @Test
     void oneOfTwoRacingRolloutsWins() throws IOException {
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/hedging/HedgeLimitTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/hedging/HedgeLimitTest.java
@@ -57,6 +57,18 @@
         assertTrue(hedges <= 105, hedges + " hedges");
     }
 
+    /** With few requests a window permits one hedge, which must not be used in every window after a quiet time. */
+    @Test
+    void savedUpLimitOfFewRequestsIsOneHedge() {
+        HedgeLimit limit = new HedgeLimit(0.05);
+        int hedges = 0;
+        for (int i = 0; i < 2_100; i++) {
+            limit.recordRequest(i * 2_000L);
+            hedges += i >= 2_000 && limit.tryTake(i * 2_000L) ? 1 : 0;
+        }
+        assertTrue(hedges <= 1 + 5, hedges + " hedges");
+    }
+
     @Test
     void zeroSwitchesHedgingOff() {
         HedgeLimit limit = new HedgeLimit(0);
