Let a joining instance own quotas once all others count it

Cause: the accounts that a joining instance precedes had no owner for 3.6 s, and after a restart of all instances none had one for 8 s.

Change: QuotaClaims asks all others in two steps; without all answers the rule of 8 s applies. Exclusive roles need the own listing in the own view; an instance whose renewed listing is missing there is listed again. A listing that is seen within 4.4 s of a claim counts at once.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/membership/MembershipStatus.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/membership/MembershipStatus.java
@@ -54,7 +54,9 @@
     private final LeaseGuard viewValidity;
     private final LeaseGuard recentView;
     private final LeaseGuard viewContinuity;
+    private boolean listingInView;
     private long continuousSince;
+    private long newestViewAtMillis = Long.MIN_VALUE;
     private long tenure;
     private long listedAtMillis = NOT_LISTED;
 
@@ -92,10 +94,24 @@
         tenure++;
     }
 
+    /** Records whether the view of the store contains the listing of this instance. */
+    public void recordListingInView(boolean present) {
+        listingInView = present;
+    }
+
+    /**
+     * Returns whether the view is newer than the listing of this instance and does not contain it. Then the store has
+     * removed the listing, although its lease may be valid.
+     */
+    public boolean isListingMissing() {
+        return listedAtMillis != NOT_LISTED && newestViewAtMillis >= listedAtMillis && !listingInView;
+    }
+
     /** Records a response of the store with all listings as of the given monotonic time or later. */
     public void recordView(long sentAt) {
         viewValidity.recordRenewal(sentAt, MAX_VIEW_AGE_MILLIS);
         recentView.recordRenewal(sentAt, EXCLUSIVE_VIEW_AGE_MILLIS);
+        newestViewAtMillis = Math.max(newestViewAtMillis, sentAt);
         if (!viewContinuity.isValid()) {
             continuousSince = clock.millis();
             tenure++;
@@ -130,12 +146,20 @@
      * lease. docs/design/quotas.md has the argument.
      */
     public boolean mayHoldExclusiveRole() {
-        long now = clock.millis();
+        return mayClaimExclusiveRole() && clock.millis() - listedAtMillis >= EXCLUSIVE_MIN_LISTED_MILLIS;
+    }
+
+    /**
+     * Returns whether this instance may hold an exclusive role as soon as every other instance in its view has
+     * confirmed that it counts this one.
+     */
+    public boolean mayClaimExclusiveRole() {
         return listingLease.isValid()
                 && recentView.isValid()
                 && listedAtMillis != NOT_LISTED
-                && now - listedAtMillis >= EXCLUSIVE_MIN_LISTED_MILLIS
-                && now - continuousSince >= EXCLUSIVE_VIEW_AGE_MILLIS;
+                && newestViewAtMillis >= listedAtMillis
+                && listingInView
+                && clock.millis() - continuousSince >= EXCLUSIVE_VIEW_AGE_MILLIS;
     }
 
     /**
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/quota/QuotaMembers.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/quota/QuotaMembers.java
@@ -16,8 +16,8 @@
  *
  * <p>An instance counts some time after its listing was seen, because it cannot be the owner before it has been listed
  * for a while, and for some time after its listing was removed, because it may not know of the removal yet. Invariant:
- * if two instances may hold an exclusive role ({@link MembershipStatus#mayHoldExclusiveRole}) at the same time, at most
- * one of them precedes the others in its own order. Not thread-safe.
+ * if two instances may be owners ({@link #mayOwn}) at the same time, at most one of them precedes the others in its own
+ * order. Not thread-safe.
  */
 public final class QuotaMembers {
 
@@ -34,6 +34,8 @@
     private long nextChangeAt = NEVER;
     private long lastDepartureAt = Long.MIN_VALUE;
     private long changes;
+    /** The tenure in which all other instances have confirmed that they count this one. */
+    private long confirmedTenure = Long.MIN_VALUE;
 
     /** Creates the order of an instance that knows no other. */
     public QuotaMembers(InstanceId self, MembershipStatus status) {
@@ -49,6 +51,8 @@
         /** Until this time the instance may be the owner although its listing was removed. */
         private long departedAt = Long.MIN_VALUE;
 
+        private long claimedAt = Long.MIN_VALUE / 2;
+
         Member(InstanceId instance) {
             hash = hash(instance.value());
         }
@@ -80,13 +84,58 @@
                     member.live = true;
                     // What this instance sees soon after a gap between its views may have been listed for long.
                     boolean maybeListedLong = now - continuousSince < MembershipStatus.EXCLUSIVE_JOIN_DELAY_MILLIS;
-                    member.settledAt = maybeListedLong ? now : now + MembershipStatus.EXCLUSIVE_JOIN_DELAY_MILLIS;
+                    // The listing may be the one under which the instance asked to be counted.
+                    boolean maybeClaimed = now - member.claimedAt < MembershipStatus.EXCLUSIVE_JOIN_DELAY_MILLIS;
+                    member.settledAt =
+                            maybeListedLong || maybeClaimed ? now : now + MembershipStatus.EXCLUSIVE_JOIN_DELAY_MILLIS;
                 }
             }
         }
         recordChange(now);
     }
 
+    /** Returns whether this instance may be the owner of an account for which it precedes all others. */
+    boolean mayOwn() {
+        return status.mayHoldExclusiveRole()
+                || confirmedTenure == status.exclusiveTenure() && status.mayClaimExclusiveRole();
+    }
+
+    /**
+     * Records that all other instances which may be owners have confirmed that they count this one. All of them count
+     * from now on, however long they have been listed.
+     */
+    void recordConfirmation(long now) {
+        confirmedTenure = status.exclusiveTenure();
+        members.values().forEach(member -> member.settledAt = Math.min(member.settledAt, now));
+        recordChange(now);
+    }
+
+    /** Counts another instance from now on; returns false if its listing has not been seen yet. */
+    boolean settle(InstanceId instance, long now) {
+        Member member = members.get(instance);
+        if (member == null || !member.live) {
+            return false;
+        }
+        member.claimedAt = now;
+        if (!member.settled(now)) {
+            member.settledAt = now;
+            recordChange(now);
+        }
+        return true;
+    }
+
+    /** Returns whether the listing of another instance is in the view. */
+    boolean isLive(InstanceId instance) {
+        Member member = members.get(instance);
+        return member != null && member.live;
+    }
+
+    /** Returns the other instances that are live or may be owners although their listing was removed. */
+    Set<InstanceId> others(long now) {
+        refresh(now);
+        return Set.copyOf(members.keySet());
+    }
+
     /**
      * Records that another instance has given up its accounts for good. A later incarnation of it is the owner no
      * sooner than one that is listed for the first time now.
@@ -163,7 +212,7 @@
      */
     InstanceId owner(AccountName account, long now) {
         refresh(now);
-        if (status.mayHoldExclusiveRole() && isFirst(account, now)) {
+        if (mayOwn() && isFirst(account, now)) {
             return self;
         }
         return ownerByAccount.computeIfAbsent(account, name -> firstOther(hash(name.value()), now));
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/quota/QuotaOwner.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/quota/QuotaOwner.java
@@ -51,7 +51,7 @@
     public void refresh() {
         long now = clock.millis();
         long changes = members.refresh(now);
-        boolean mayOwn = status.mayHoldExclusiveRole();
+        boolean mayOwn = members.mayOwn();
         if (status.exclusiveTenure() != tenure) {
             tenure = status.exclusiveTenure();
             owning = false;
@@ -79,7 +79,7 @@
         long now = clock.millis();
         AccountName account = request.account();
         if (released
-                || !status.mayHoldExclusiveRole()
+                || !members.mayOwn()
                 || !members.isFirst(account, now)
                 || !request.quota().limited()) {
             return QuotaReply.notOwner(request.number(), NOT_OWNER_RETRY_MILLIS);
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/quota/QuotaFleetTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/quota/QuotaFleetTest.java
@@ -127,7 +127,8 @@
     /**
      * Random faults, half of them at the owner of an account, with callers that always send more than the quota. Guards
      * against two owners of one account at the same time, tokens that are used twice or late, and buckets that are full
-     * after a change of the owner.
+     * after a change of the owner. Seeds 123, 1052 and 2033 found two owners: a listing was lost before the response
+     * that it was written, and a claim arrived before the listing under which it was made.
      */
     @ParameterizedTest
     @CsvSource({
@@ -135,6 +136,8 @@
         "12, 100, 24",
         "74, 200, 6",
         "300, 300, 2",
+        "12, 1052, 1",
+        "5, 2033, 1",
     })
     void sumStaysWithinTheQuota(int size, long firstSeed, int seeds) {
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
@@ -269,7 +272,7 @@
                     account.unknown,
                     (double) account.decisionMillis / account.sent);
         }
-        System.out.printf(Locale.ROOT, "served by %.0f datagrams/s in sum%n", fleet.datagrams / (fleet.now / 1_000.0));
+        System.out.printf(Locale.ROOT, "datagrams %.0f/s in sum%n", fleet.datagrams / (fleet.now / 1_000.0));
     }
 
     private static void injectFault(SimulatedFleet fleet, List<SimulatedFleet.Account> accounts, Random random) {
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/quota/QuotaOwnerTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/quota/QuotaOwnerTest.java
@@ -60,6 +60,7 @@
 
     private void becomeOwner() {
         status.recordListing(monotonic, LEASE_MILLIS);
+        status.recordListingInView(true);
         status.recordView(monotonic);
         list(SELF);
         advance(MembershipStatus.EXCLUSIVE_MIN_LISTED_MILLIS);
@@ -68,6 +69,7 @@
     @Test
     void newInstanceGrantsNothing() {
         status.recordListing(monotonic, LEASE_MILLIS);
+        status.recordListingInView(true);
         list(SELF);
         advance(MembershipStatus.EXCLUSIVE_MIN_LISTED_MILLIS - 100);
         assertFalse(ask(1, 0).owner());
@@ -94,6 +96,15 @@
         assertEquals(2, ask(2, 1).granted());
     }
 
+    /** The store may remove a listing before the response that it was written arrives. */
+    @Test
+    void instanceWhoseListingIsNotInItsViewGrantsNothing() {
+        becomeOwner();
+        status.recordListingInView(false);
+        assertTrue(status.isListingMissing());
+        assertFalse(ask(1, 0).owner());
+    }
+
     /** A joining instance may be the owner once it is listed for long enough; until then this one is. */
     @Test
     void ownershipEndsBeforeAJoiningInstanceCanBeTheOwner() {
@@ -109,6 +120,7 @@
     @Test
     void ownershipBeginsWhenADepartedInstanceKnowsOfIt() {
         status.recordListing(monotonic, LEASE_MILLIS);
+        status.recordListingInView(true);
         status.recordView(monotonic);
         list(SELF, PEER);
         advance(20_000);
@@ -126,6 +138,7 @@
     @Test
     void ownershipBeginsAtOnceAfterARelease() {
         status.recordListing(monotonic, LEASE_MILLIS);
+        status.recordListingInView(true);
         status.recordView(monotonic);
         list(SELF, PEER);
         advance(20_000);
@@ -148,6 +161,19 @@
         assertFalse(ask(1, 0).owner());
     }
 
+    /** A joining instance may ask to be counted before its newest listing is seen here. */
+    @Test
+    void listingThatIsSeenAfterAClaimCountsAtOnce() {
+        becomeOwner();
+        list(SELF, PEER);
+        assertTrue(members.settle(PEER, monotonic));
+        advance(100);
+        list(SELF);
+        list(SELF, PEER);
+        advance(MembershipStatus.EXCLUSIVE_VIEW_AGE_MILLIS + 100);
+        assertFalse(ask(1, 0).owner());
+    }
+
     @Test
     void bucketIsDroppedWhenAnotherInstanceOwnedTheAccount() {
         becomeOwner();
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/quota/SimulatedFleet.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/quota/SimulatedFleet.java
@@ -204,8 +204,8 @@
     long countOwners(AccountName account) {
         return instances.stream()
                 .filter(instance -> instance.running && now >= instance.frozenUntil)
-                .filter(instance -> instance.status.mayHoldExclusiveRole()
-                        && instance.members.isFirst(account, instance.monotonic()))
+                .filter(instance ->
+                        instance.members.mayOwn() && instance.members.isFirst(account, instance.monotonic()))
                 .count();
     }
 
@@ -213,8 +213,8 @@
     Instance owner(AccountName account) {
         return instances.stream()
                 .filter(instance -> instance.running && now >= instance.frozenUntil)
-                .filter(instance -> instance.status.mayHoldExclusiveRole()
-                        && instance.members.isFirst(account, instance.monotonic()))
+                .filter(instance ->
+                        instance.members.mayOwn() && instance.members.isFirst(account, instance.monotonic()))
                 .findFirst()
                 .orElse(null);
     }
@@ -309,6 +309,7 @@
         final QuotaMembers members;
         final QuotaOwner owner;
         final QuotaRequester requester;
+        final QuotaClaims claims;
         boolean running = true;
         long frozenUntil;
         long storeCutUntil;
@@ -340,6 +341,21 @@
                             sendDatagram(recipient, receiver -> receiver.handleRequests(this, requests)),
                     VALIDITY_MILLIS,
                     random.nextLong() >>> 1);
+            claims = new QuotaClaims(
+                    this::monotonic,
+                    status,
+                    members,
+                    (recipients, claim) -> recipients.forEach(
+                            recipient -> sendDatagram(recipient, receiver -> receiver.handleClaim(this, claim))),
+                    random.nextLong() >>> 1);
+        }
+
+        private void handleClaim(Instance claimant, QuotaClaim claim) {
+            boolean answered = claims.handleClaim(claimant.id, claim);
+            owner.refresh();
+            if (answered) {
+                sendDatagram(claimant.id, receiver -> receiver.claims.handleAnswer(id, claim));
+            }
         }
 
         long monotonic() {
@@ -446,7 +462,7 @@
                         return;
                     }
                     answered[0] = true;
-                    if (renewed) {
+                    if (renewed && !status.isListingMissing()) {
                         status.recordRenewal(sentAt, LEASE_MILLIS);
                         schedule(RENEWAL_MILLIS, this, () -> renew(attempt));
                     } else {
@@ -513,6 +529,9 @@
         }
 
         private void applyChange(InstanceId instance, boolean present, long revision) {
+            if (instance.equals(id)) {
+                status.recordListingInView(present);
+            }
             boolean changed = present ? view.add(instance) : view.remove(instance);
             if (!present && instance.equals(id) && listedRevision > 0 && revision > listedRevision) {
                 restoreListing();
@@ -525,6 +544,7 @@
 
         private void tick() {
             owner.refresh();
+            claims.check();
             schedule(250, this, this::tick);
         }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.jackdawslip.internal.logging.AsyncLineWriter;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
+import org.jackdawslip.internal.quota.QuotaClaim;
 import org.jackdawslip.internal.quota.QuotaReply;
 import org.jackdawslip.internal.quota.QuotaRequest;
 import org.jackdawslip.internal.time.LeaseGuard;
@@ -147,6 +148,16 @@
             public void quotasReleased(InstanceId instance, long sentAtMillis) {
                 quotas.handleRelease(instance, sentAtMillis);
             }
+
+            @Override
+            public void quotaClaimed(InstanceId claimant, InetSocketAddress address, QuotaClaim claim) {
+                quotas.handleClaim(claimant, address, claim);
+            }
+
+            @Override
+            public void quotaClaimAnswered(InstanceId other, QuotaClaim claim) {
+                quotas.handleClaimAnswer(other, claim);
+            }
         });
         quotas = new QuotaExchange(
                 context,
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
@@ -127,6 +127,10 @@
             }
             switch (result.status()) {
                 case DONE -> {
+                    if (membershipStatus.isListingMissing()) {
+                        restoreListing(listedRevision);
+                        return;
+                    }
                     membershipStatus.recordRenewal(sentAt, termMillis);
                     scheduleForAttempt(attempt, this::renew, RENEWAL_INTERVAL_MILLIS);
                 }
@@ -164,6 +168,9 @@
         }
         try {
             InstanceId instance = new InstanceId(name.substring(LISTING_PREFIX.length()));
+            if (instance.equals(settings.instance())) {
+                membershipStatus.recordListingInView(value != null);
+            }
             if (value == null) {
                 liveInstances.remove(instance);
                 if (instance.equals(settings.instance()) && revision > listedRevision && listedRevision > 0) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerExchange.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -31,6 +32,7 @@
 import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.keyspace.KeyMoveAnnouncement;
 import org.jackdawslip.internal.logging.EventLog;
+import org.jackdawslip.internal.quota.QuotaClaim;
 import org.jackdawslip.internal.quota.QuotaReply;
 import org.jackdawslip.internal.quota.QuotaRequest;
 import org.jackdawslip.internal.time.MonotonicClock;
@@ -89,6 +91,8 @@
     private static final int FIELD_QUOTA_REQUEST = 7;
     private static final int FIELD_QUOTA_REPLY = 8;
     private static final int FIELD_QUOTAS_RELEASED = 9;
+    private static final int FIELD_QUOTA_CLAIM = 10;
+    private static final int FIELD_QUOTA_CLAIM_ANSWER = 11;
 
     private final GatewayContext context;
     private final InstanceId self;
@@ -288,6 +292,24 @@
                 sendQuotaReplies(recipient, replies);
             }
 
+            @Override
+            public void sendClaim(List<InstanceId> recipients, QuotaClaim claim) {
+                byte[] bytes = PeerMessages.encode(
+                        output -> output.writeByteArray(FIELD_QUOTA_CLAIM, PeerMessages.encode(claim)));
+                recipients.stream()
+                        .map(peers::get)
+                        .filter(Objects::nonNull)
+                        .forEach(peer -> PeerExchange.this.send(peer.address(), bytes));
+            }
+
+            @Override
+            public void answerClaim(InetSocketAddress recipient, QuotaClaim claim) {
+                PeerExchange.this.send(
+                        recipient,
+                        PeerMessages.encode(
+                                output -> output.writeByteArray(FIELD_QUOTA_CLAIM_ANSWER, PeerMessages.encode(claim))));
+            }
+
             @Override
             public void announceRelease(long sentAtMillis) {
                 announceQuotaRelease(sentAtMillis);
@@ -438,6 +460,10 @@
                             PeerMessages.decodeQuotaRequest(input.readByteArray()));
                     case FIELD_QUOTA_REPLY -> quotaReplies.add(PeerMessages.decodeQuotaReply(input.readByteArray()));
                     case FIELD_QUOTAS_RELEASED -> listener.quotasReleased(sender, input.readInt64());
+                    case FIELD_QUOTA_CLAIM -> listener.quotaClaimed(
+                            sender, address, PeerMessages.decodeQuotaClaim(input.readByteArray()));
+                    case FIELD_QUOTA_CLAIM_ANSWER -> listener.quotaClaimAnswered(
+                            sender, PeerMessages.decodeQuotaClaim(input.readByteArray()));
                     case FIELD_KEY -> {
                         PeerMessages.KeyUse use = PeerMessages.decodeKeyUse(input.readByteArray());
                         listener.keyUsed(use.service(), use.slot());
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerListener.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerListener.java
@@ -6,6 +6,7 @@
 import org.jackdawslip.InstanceId;
 import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.keyspace.KeyMoveAnnouncement;
+import org.jackdawslip.internal.quota.QuotaClaim;
 import org.jackdawslip.internal.quota.QuotaReply;
 import org.jackdawslip.internal.quota.QuotaRequest;
 
@@ -36,4 +37,14 @@
      * @param sentAtMillis time of day at which it sent the message, in milliseconds since the epoch
      */
     default void quotasReleased(InstanceId instance, long sentAtMillis) {}
+
+    /**
+     * A joining instance asks to be counted as a possible quota owner.
+     *
+     * @param address where the answer is sent
+     */
+    default void quotaClaimed(InstanceId claimant, InetSocketAddress address, QuotaClaim claim) {}
+
+    /** Another instance answered a claim of this instance. */
+    default void quotaClaimAnswered(InstanceId other, QuotaClaim claim) {}
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerMessages.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PeerMessages.java
@@ -16,6 +16,7 @@
 import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.keyspace.KeyMoveAnnouncement;
 import org.jackdawslip.internal.keyspace.KeySegment;
+import org.jackdawslip.internal.quota.QuotaClaim;
 import org.jackdawslip.internal.quota.QuotaReply;
 import org.jackdawslip.internal.quota.QuotaRequest;
 
@@ -51,6 +52,8 @@
     private static final int QUOTA_OWNER = 6;
     private static final int QUOTA_GRANTED = 7;
     private static final int QUOTA_RETRY_MILLIS = 8;
+    private static final int CLAIM_NUMBER = 1;
+    private static final int CLAIM_COMMIT = 2;
     private static final int KEY_SERVICE = 1;
     private static final int KEY_SLOT = 2;
 
@@ -292,4 +295,25 @@
                 numbers[QUOTA_VERSION],
                 new Quota(rate, burst));
     }
+
+    static byte[] encode(QuotaClaim claim) {
+        return encode(output -> {
+            output.writeInt64(CLAIM_NUMBER, claim.number());
+            output.writeBool(CLAIM_COMMIT, claim.commit());
+        });
+    }
+
+    static QuotaClaim decodeQuotaClaim(byte[] bytes) throws IOException {
+        CodedInputStream input = CodedInputStream.newInstance(bytes);
+        long number = 0;
+        boolean commit = false;
+        for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case CLAIM_NUMBER -> number = input.readInt64();
+                case CLAIM_COMMIT -> commit = input.readBool();
+                default -> input.skipField(tag);
+            }
+        }
+        return new QuotaClaim(number, commit);
+    }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/QuotaExchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/QuotaExchange.java
@@ -13,6 +13,8 @@
 import org.jackdawslip.internal.account.ClientAccount;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
+import org.jackdawslip.internal.quota.QuotaClaim;
+import org.jackdawslip.internal.quota.QuotaClaims;
 import org.jackdawslip.internal.quota.QuotaDecision;
 import org.jackdawslip.internal.quota.QuotaMembers;
 import org.jackdawslip.internal.quota.QuotaOwner;
@@ -60,15 +62,22 @@
     private final QuotaMembers members;
     private final QuotaOwner owner;
     private final QuotaRequester requester;
+    private final QuotaClaims claims;
+    /** Whether quotas are in use. A deployment without accounts sends no message. */
+    private boolean active;
+
     private boolean sendScheduled;
     private boolean checkScheduled;
     private int ownedAccounts;
 
     /** Sends the messages of this exchange. */
-    interface Messages extends QuotaRequester.Sender {
+    interface Messages extends QuotaRequester.Sender, QuotaClaims.Sender {
         /** Sends replies to requests for tokens. */
         void reply(InetSocketAddress recipient, List<QuotaReply> replies);
 
+        /** Answers the claim of a joining instance. */
+        void answerClaim(InetSocketAddress recipient, QuotaClaim claim);
+
         /** Sends to all instances that this one owns no quota any more. */
         void announceRelease(long sentAtMillis);
     }
@@ -99,6 +108,7 @@
         owner = new QuotaOwner(clock, status, members, CAPACITY_SHARE_OF_EXCESS * terms.quotaExcessRequests());
         requester = new QuotaRequester(
                 clock, wallClock, self, members, owner, messages, validityMillis(terms), random.nextLong() >>> 2);
+        claims = new QuotaClaims(clock, status, members, messages, random.nextLong() >>> 2);
     }
 
     private static long validityMillis(GatewaySettings.AccountTerms terms) {
@@ -109,7 +119,7 @@
 
     /** Starts the periodic check of the owned accounts and registers the metrics. */
     void start(GatewayContext context) {
-        context.every(OWNER_CHECK_MILLIS, "quota-owner", this::refreshOwner);
+        context.every(OWNER_CHECK_MILLIS, "quota-owner", this::check);
         metrics.registerGauge("quota.accounts.owned", owner::accounts);
         metrics.registerGauge("quota.tokens.granted", owner::granted);
         metrics.registerGauge("quota.tokens.refused", owner::refused);
@@ -123,8 +133,16 @@
         refreshOwner();
     }
 
+    /** Drops the buckets that this instance no longer owns, and claims accounts if it is new. */
+    void check() {
+        refreshOwner();
+        if (active) {
+            claims.check();
+        }
+    }
+
     /** Drops the buckets that this instance no longer owns. */
-    void refreshOwner() {
+    private void refreshOwner() {
         owner.refresh();
         if (owner.accounts() == 0 && ownedAccounts > 0) {
             log.info("quota-buckets-dropped", "accounts", ownedAccounts);
@@ -138,6 +156,7 @@
             whenDecided.accept(QuotaDecision.ADMITTED);
             return;
         }
+        active = true;
         requester.admit(account, configVersion.getAsLong(), decision -> {
             metrics.countDecision("quota", decision.outcome().name());
             whenDecided.accept(decision);
@@ -174,10 +193,26 @@
 
     /** Replies to the requests of another instance. */
     void handleRequests(InetSocketAddress sender, List<QuotaRequest> requests) {
+        active = true;
         messages.reply(sender, requests.stream().map(this::reply).toList());
         ownedAccounts = owner.accounts();
     }
 
+    /** Handles the claim of a joining instance. */
+    void handleClaim(InstanceId claimant, InetSocketAddress address, QuotaClaim claim) {
+        active = true;
+        boolean answered = claims.handleClaim(claimant, claim);
+        refreshOwner();
+        if (answered) {
+            messages.answerClaim(address, claim);
+        }
+    }
+
+    /** Handles the answer of another instance to a claim of this one. */
+    void handleClaimAnswer(InstanceId other, QuotaClaim claim) {
+        claims.handleAnswer(other, claim);
+    }
+
     /** Returns the reply of this instance to one request. */
     QuotaReply reply(QuotaRequest request) {
         return owner.reply(request);
@@ -192,7 +227,9 @@
     /** Ends the ownership of all accounts for good, because this instance stops. */
     void release() {
         owner.release();
-        messages.announceRelease(wallClock.millis());
+        if (active) {
+            messages.announceRelease(wallClock.millis());
+        }
     }
 
     /**
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/PeerMessagesTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/PeerMessagesTest.java
@@ -11,6 +11,7 @@
 import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.keyspace.KeyMoveAnnouncement;
 import org.jackdawslip.internal.keyspace.KeySegment;
+import org.jackdawslip.internal.quota.QuotaClaim;
 import org.jackdawslip.internal.quota.QuotaReply;
 import org.jackdawslip.internal.quota.QuotaRequest;
 import org.junit.jupiter.api.Test;
@@ -63,6 +64,12 @@
         assertEquals(notOwner, PeerMessages.decodeQuotaReply(PeerMessages.encode(notOwner)));
     }
 
+    @Test
+    void quotaClaimKeepsAllFields() throws IOException {
+        QuotaClaim claim = new QuotaClaim(Long.MAX_VALUE, true);
+        assertEquals(claim, PeerMessages.decodeQuotaClaim(PeerMessages.encode(claim)));
+    }
+
     /** Later versions may add fields. */
     @Test
     void unknownFieldsOfQuotaMessagesAreSkipped() throws IOException {
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/QuotaExchangeTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/QuotaExchangeTest.java
@@ -29,6 +29,7 @@
 import org.jackdawslip.internal.logging.AsyncLineWriter;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
+import org.jackdawslip.internal.quota.QuotaClaim;
 import org.jackdawslip.internal.quota.QuotaDecision;
 import org.jackdawslip.internal.quota.QuotaReply;
 import org.jackdawslip.internal.quota.QuotaRequest;
@@ -64,6 +65,7 @@
         final InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
         final MembershipStatus status = new MembershipStatus(now::get, now::get);
         final AtomicInteger messages = new AtomicInteger();
+        final AtomicInteger claimMessages = new AtomicInteger();
         final PeerExchange peers;
         final QuotaExchange quotas;
 
@@ -94,6 +96,16 @@
                 public void quotasReleased(InstanceId instance, long sentAtMillis) {
                     quotas.handleRelease(instance, sentAtMillis);
                 }
+
+                @Override
+                public void quotaClaimed(InstanceId claimant, InetSocketAddress claimantAddress, QuotaClaim claim) {
+                    quotas.handleClaim(claimant, claimantAddress, claim);
+                }
+
+                @Override
+                public void quotaClaimAnswered(InstanceId other, QuotaClaim claim) {
+                    quotas.handleClaimAnswer(other, claim);
+                }
             });
             quotas = new QuotaExchange(
                     context, now::get, status, new GatewayMetrics(), () -> 1, countingMessages(), new Random(1));
@@ -113,6 +125,17 @@
                     messagesToPeers.reply(recipient, replies);
                 }
 
+                @Override
+                public void sendClaim(List<InstanceId> recipients, QuotaClaim claim) {
+                    claimMessages.addAndGet(recipients.size());
+                    messagesToPeers.sendClaim(recipients, claim);
+                }
+
+                @Override
+                public void answerClaim(InetSocketAddress recipient, QuotaClaim claim) {
+                    messagesToPeers.answerClaim(recipient, claim);
+                }
+
                 @Override
                 public void announceRelease(long sentAtMillis) {
                     messagesToPeers.announceRelease(sentAtMillis);
@@ -145,10 +168,10 @@
             onLoop(() -> {
                 node.peers.setLivePeers(live);
                 node.status.recordListing(now.get(), LEASE_MILLIS);
+                node.status.recordListingInView(true);
                 node.quotas.setLiveInstances(live.keySet());
             });
         }
-        advance(MembershipStatus.EXCLUSIVE_MIN_LISTED_MILLIS);
     }
 
     @AfterEach
@@ -165,7 +188,7 @@
                 for (Node node : nodes) {
                     node.status.recordRenewal(now.get(), LEASE_MILLIS);
                     node.status.recordView(now.get());
-                    node.quotas.refreshOwner();
+                    node.quotas.check();
                 }
             }
         });
@@ -225,7 +248,11 @@
         ClientAccount unlimited = new ClientAccount(new AccountName("fernhill"), 0, Quota.UNLIMITED);
         for (Node node : nodes) {
             admit(node, unlimited, 100);
+        }
+        advance(20_000);
+        for (Node node : nodes) {
             assertEquals(0, node.messages.get());
+            assertEquals(0, node.claimMessages.get());
         }
         assertEquals(300, count(QuotaDecision.Outcome.ADMITTED));
     }
@@ -245,6 +272,25 @@
         decisions.forEach(decision -> assertTrue(decision.retryDelayMillis() > 0));
     }
 
+    /** Nobody would be served for a longer time after a restart of all instances. */
+    @Test
+    void instancesThatConfirmOneAnotherOwnAccountsSooner() throws Exception {
+        for (Node node : nodes) {
+            admit(node, LIMITED, 1);
+        }
+        // The first view is recorded 500 ms after the start, and the claim is answered after that.
+        advance(MembershipStatus.EXCLUSIVE_VIEW_AGE_MILLIS + 500);
+        QuotaRequest request = new QuotaRequest(0, LIMITED.name(), 1, LIMITED.quota(), 0, 0);
+        AtomicInteger owners = new AtomicInteger();
+        while (owners.get() == 0) {
+            Thread.sleep(5);
+            for (Node node : nodes) {
+                onLoop(() -> owners.addAndGet(node.quotas.reply(request).owner() ? 1 : 0));
+            }
+        }
+        assertEquals(1, owners.get());
+    }
+
     /** After a restart of all instances nobody knows which tokens were granted before. */
     @Test
     void requestsAreRefusedWithoutAnOwner() throws Exception {
@@ -270,6 +316,9 @@
     @Test
     void successorOfAStoppedOwnerStartsAtOnceWithAnEmptyBucket() throws Exception {
         advance(60_000);
+        admit(nodes.get(0), LIMITED, 1);
+        admit(nodes.get(1), LIMITED, 1);
+        awaitDecisions(2);
         Node stopped = owner();
         List<Node> others = nodes.stream().filter(node -> node != stopped).toList();
         onLoop(() -> {
