--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HedgedAttempts.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HedgedAttempts.java
@@ -2,6 +2,8 @@
 
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.ObjDoubleConsumer;
 
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jackdawslip.ServiceName;
@@ -20,14 +22,19 @@
  */
 final class HedgedAttempts {
 
-    /** The request that may be hedged. Called on the event loop. */
-    interface Request {
-        /** Returns whether the request is open, has an attempt and may have one more. */
-        boolean mayAttemptMore();
-
-        /** Starts an attempt at the server. */
-        void startAttempt(BackendTracker server, double expectedMillis);
-    }
+    /**
+     * The request that may be hedged. The callbacks are called on the event loop.
+     *
+     * @param receivedAt when the request arrived
+     * @param deadlineAt the deadline of the request
+     * @param mayAttemptMore returns whether the request is open, has an attempt and may have one more
+     * @param startAttempt starts an attempt at a server with an expected response time in milliseconds
+     */
+    record Request(
+            long receivedAt,
+            long deadlineAt,
+            BooleanSupplier mayAttemptMore,
+            ObjDoubleConsumer<BackendTracker> startAttempt) {}
 
     /** Lower limit of the time between two decisions about the hedge of a request. */
     private static final long MIN_RECHECK_MILLIS = 20;
@@ -59,17 +66,15 @@
             HostRoute route,
             ServerSelector serverSelector,
             RequestLog requestLog,
-            Request request,
-            long receivedAt,
-            long deadlineAt) {
+            Request request) {
         this.components = components;
         this.route = route;
         this.service = serverSelector.service();
         this.serverSelector = serverSelector;
         this.requestLog = requestLog;
         this.request = request;
-        this.receivedAt = receivedAt;
-        this.deadlineAt = deadlineAt;
+        this.receivedAt = request.receivedAt();
+        this.deadlineAt = request.deadlineAt();
         this.policy = components.routing().hedgePolicy(service);
         this.timing = components.routing().hedgeTiming(route, service);
         this.hedgeable = !serverSelector.keyed() && route.kind().repeatable() && policy.enabled();
@@ -101,7 +106,7 @@
     }
 
     private void startHedge() {
-        if (!request.mayAttemptMore()) {
+        if (!request.mayAttemptMore().getAsBoolean()) {
             return;
         }
         long now = now();
@@ -121,7 +126,7 @@
             hedge = server;
             hedgeStartedAt = now;
             components.metrics().countDecision("hedge", service.value());
-            request.startAttempt(server, expectedMillis);
+            request.startAttempt().accept(server, expectedMillis);
         } else {
             String reason = decision.name().toLowerCase(Locale.ROOT).replace('_', '-');
             components.metrics().countDecision("no-hedge", reason);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -145,8 +145,9 @@
         components.routing().retryBudget(service).recordRequest(now());
         deadlineAt = Math.min(deadlineAt, components.plannedStop().endsAt());
         deadlineTimer = schedule(this::handleDeadline, deadlineAt - now());
-        hedgedAttempts = new HedgedAttempts(
-                components, route, serverSelector, requestLog, new HedgedRequest(), request.receivedAt(), deadlineAt);
+        HedgedAttempts.Request hedgedRequest =
+                new HedgedAttempts.Request(request.receivedAt(), deadlineAt, this::mayHedge, this::startAttempt);
+        hedgedAttempts = new HedgedAttempts(components, route, serverSelector, requestLog, hedgedRequest);
         attemptNextServer();
     }
 
@@ -225,6 +226,10 @@
         }
     }
 
+    private boolean mayHedge() {
+        return !finished && !openAttempts.isEmpty() && countAttempts() < route.maxAttempts();
+    }
+
     private boolean tryUseRetryBudget() {
         RetryBudget budget = components.routing().retryBudget(service);
         boolean permitted = budget.tryRetry(now(), components.routing().globalLimitShare());
@@ -442,19 +447,6 @@
         return components.clock().millis();
     }
 
-    /** The request as seen by its hedged attempts. */
-    private final class HedgedRequest implements HedgedAttempts.Request {
-        @Override
-        public boolean mayAttemptMore() {
-            return !finished && !openAttempts.isEmpty() && countAttempts() < route.maxAttempts();
-        }
-
-        @Override
-        public void startAttempt(BackendTracker server, double expectedMillis) {
-            RequestForwarder.this.startAttempt(server, expectedMillis);
-        }
-    }
-
     /** One attempt of the request at one backend server. */
     private final class Attempt implements ExchangeListener, StreamedResponse.Listener {
         private final BackendDirectory.Target target;
