--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -143,8 +143,9 @@
         retries = new RequestRetries(components, service);
         serverSelector = new ServerSelector(components, route, serviceConfig, keySlot, request.transitBytes());
         deadlineTimer = schedule(this::handleDeadline, deadlineAt - now());
-        hedgedAttempts = new HedgedAttempts(
-                components, route, serverSelector, requestLog, new HedgedRequest(), request.receivedAt(), deadlineAt);
+        HedgedAttempts.Request hedgedRequest =
+                new HedgedAttempts.Request(request.receivedAt(), deadlineAt, this::mayHedge, this::startAttempt);
+        hedgedAttempts = new HedgedAttempts(components, route, serverSelector, requestLog, hedgedRequest);
         requestAccount.requestQuota(() -> finished, this::startAdmitted);
     }
 
@@ -223,6 +224,10 @@
         }
     }
 
+    private boolean mayHedge() {
+        return !finished && !openAttempts.isEmpty() && countAttempts() < route.maxAttempts();
+    }
+
     private void retry(String cause, Attempt failed) {
         requestLog.logRetry(failed.summary(), cause, now() - failed.sentAt, retries.remaining());
         components.metrics().countDecision("retry", cause);
@@ -429,19 +434,6 @@
         return components.clock().millis();
     }
 
-    /** The request as seen by its hedged attempts. */
-    private final class HedgedRequest implements HedgedAttempts.Request {
-        @Override
-        public boolean mayAttemptMore() {
-            return !finished && !openAttempts.isEmpty() && countAttempts() < route.maxAttempts();
-        }
-
-        @Override
-        public void startAttempt(BackendTracker server, double expectedMillis) {
-            RequestForwarder.this.startAttempt(server, expectedMillis);
-        }
-    }
-
     /** One attempt of the request at one backend server. */
     private final class Attempt implements ExchangeListener, StreamedResponse.Listener {
         private final BackendDirectory.Target target;
