Pass no view on that is from before a suspension

Cause: after a suspension of its host, a source took the response to a watch that was pending as current, because a check in between had reset the clock guard. Its followers then counted their views from a time that was later by the suspension. Change: ViewFeed asks SuspensionDetector whether there was a suspension since the time of the view. Result: ViewFeedTest, 3 cases. Without the question, viewFromBeforeASuspensionIsNotPassedOn fails.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeed.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeed.java
@@ -9,8 +9,8 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
-import org.jackdawslip.internal.time.LeaseGuard;
 import org.jackdawslip.internal.time.MonotonicClock;
+import org.jackdawslip.internal.time.SuspensionDetector;
 import org.jackdawslip.internal.time.WallClock;
 
 /**
@@ -29,14 +29,14 @@
 
     /** Room for two versions of a record of the largest size, one megabyte. */
     private static final int MAX_BYTES = 2 * 1024 * 1024;
-    /** Longer than any view is valid; the age of the view is checked beside it. */
-    private static final long MAX_SUSPENSION_CHECK_MILLIS = 60_000;
 
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final BooleanSupplier followsStore;
-    /** Valid from an update until a suspension, which the monotonic clock does not count. */
-    private final LeaseGuard clocks;
+    /** The age of a view omits suspensions, so the view is not passed on after one. */
+    private final SuspensionDetector suspensions;
+    /** Whether the view may miss changes. */
+    private boolean suspended = true;
 
     private final long maxAgeMillis;
     private final Deque<DurableStore.StoreRecord> changes = new ArrayDeque<>();
@@ -65,7 +65,7 @@
         this.clock = clock;
         this.maxAgeMillis = maxAgeMillis;
         this.followsStore = followsStore;
-        this.clocks = new LeaseGuard(clock, wallClock);
+        this.suspensions = new SuspensionDetector(clock, wallClock);
     }
 
     /** Starts with a complete view at the revision. Earlier changes are not known. */
@@ -97,7 +97,7 @@
     void update(long newRevision, long newCurrentAt) {
         revision = newRevision;
         currentAt = newCurrentAt;
-        clocks.recordRenewal(clock.millis(), MAX_SUSPENSION_CHECK_MILLIS);
+        suspended = false;
         for (Watch watch : List.copyOf(watches)) {
             if (!isServing() || watch.afterRevision < newRevision) {
                 watch.end();
@@ -107,12 +107,15 @@
 
     /** Refuses all watches until the next update, because the view may miss changes. */
     void suspend() {
-        clocks.recordEnd();
+        suspended = true;
         List.copyOf(watches).forEach(Watch::end);
     }
 
     private boolean isServing() {
-        return clocks.isValid() && clock.millis() - currentAt <= maxAgeMillis && followsStore.getAsBoolean();
+        return !suspended
+                && suspensions.noneSince(currentAt)
+                && clock.millis() - currentAt <= maxAgeMillis
+                && followsStore.getAsBoolean();
     }
 
     /** Returns the number of watches of other instances that were answered. */
