Ask for suspensions at each view, and test the errors of the clocks together

Cause: taking out the check in recordView and the allowance for the rate of the clock failed no test. The former keeps the reference current at an instance without requests, whose wall clock may be adjusted by 1.8 s in an hour. Change: the check is made at each view; two tests. Guards taken out one at a time in a scratch copy, and the tests that failed: memory of the last suspension: callThatWasPendingDuringASuspension..., suspensionInvalidatesEarlierTimesOnly, neverRecent..., suspensionEnds... reference kept for 5 s: manyShortSuspensionsAreDetected suspension in isRecent: neverRecent..., stepsOfTheWallClock..., suspensionEnds... check at each view: slowAdjustment...AtAnIdleInstance 2 % rate error: errorsOfTheClocksTogetherStayWithinTheLimit allowance for suspensions: neverRecentWithAViewOlderThanTheLimit unusable configuration: unusableConfigurationGrowsOld... repeated credential: repeatedCredentialIsNoKeyEvenIfEqual

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/account/ConfigurationFreshness.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/account/ConfigurationFreshness.java
@@ -55,7 +55,9 @@
      * It has no effect while the stored configuration is not in force.
      */
     public void recordView(long newCurrentAt) {
-        if (storedConfigurationInForce && suspensions.noneSince(newCurrentAt)) {
+        // The detector is asked at each view, so that the wall clock may be adjusted while there are no requests.
+        boolean continuous = suspensions.noneSince(newCurrentAt);
+        if (storedConfigurationInForce && continuous) {
             currentAt = viewKnown ? Math.max(currentAt, newCurrentAt) : newCurrentAt;
             viewKnown = true;
         }
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/account/ConfigurationFreshnessTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/account/ConfigurationFreshnessTest.java
@@ -127,6 +127,41 @@
         assertTrue(freshness.isRecent());
     }
 
+    /**
+     * The worst history: the monotonic clock is 2 % slow, and the host is suspended undetected on both sides of a
+     * change of the reference of the detector.
+     */
+    @Test
+    void errorsOfTheClocksTogetherStayWithinTheLimit() {
+        long suspensionMillis = 99;
+        double[] running = {0};
+        double[] real = {0};
+        ConfigurationFreshness tested = new ConfigurationFreshness(
+                () -> (long) (0.98 * running[0]),
+                new SuspensionDetector(() -> (long) (0.98 * running[0]), () -> (long) (0.98 * running[0] + real[0])),
+                LIMIT_MILLIS);
+        running[0] += 2_600;
+        tested.recordStoredConfiguration(true);
+        tested.recordView((long) (0.98 * running[0]));
+        real[0] += suspensionMillis;
+        running[0] += 2_600;
+        assertTrue(tested.isRecent());
+        real[0] += suspensionMillis;
+        running[0] += LIMIT_MILLIS - 2_600 - 2 * suspensionMillis;
+        assertFalse(tested.isRecent());
+    }
+
+    /** No request asks in an hour in which the wall clock is adjusted by 500 ppm. */
+    @Test
+    void slowAdjustmentOfTheWallClockIsNoSuspensionAtAnIdleInstance() {
+        for (int second = 0; second < 3_600; second++) {
+            advance(1_000);
+            wall += second % 2;
+            recordCurrentView();
+        }
+        assertTrue(freshness.isRecent());
+    }
+
     /**
      * Compares the decision with the real time in random histories of calls, suspensions, clock steps and a monotonic
      * clock that is 2 % slow: while it is recent, a key that was revoked longer than the limit ago is known as revoked.
