--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
@@ -22,12 +22,14 @@
 import org.jackdawslip.FailureDomainId;
 import org.jackdawslip.InstanceId;
 import org.jackdawslip.ServiceName;
+import org.jackdawslip.internal.account.ConfigurationFreshness;
 import org.jackdawslip.internal.balance.Backend;
 import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.logging.AsyncLineWriter;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
+import org.jackdawslip.internal.time.SuspensionDetector;
 import org.jackdawslip.internal.traffic.CallerLimits;
 import org.jackdawslip.internal.traffic.HostRoute;
 import org.jackdawslip.internal.traffic.RequestKind;
@@ -37,6 +39,9 @@
 /** Simulates a fleet of instances with their views of one simulated store. Not thread-safe. */
 final class SimulatedViews {
 
+    /** Time from the confirmation of a configuration until a key that it revokes is refused. */
+    static final long REVOCATION_MILLIS = 5_000;
+
     static final String HOST = "a.example";
     private static final ServiceName SERVICE = new ServiceName("pool");
     private static final int SERVERS = 250;
@@ -180,6 +185,8 @@
         final FeedReader feedReader;
         final ViewFeed feed;
         private final PlatformView view;
+        final ConfigurationFreshness freshness = new ConfigurationFreshness(
+                () -> store.now, new SuspensionDetector(() -> store.now, () -> store.now), REVOCATION_MILLIS);
         RoutingConfig config;
         final Map<String, Boolean> drainingByEntry = new HashMap<>();
         final Set<FailureDomainId> takenOut = new HashSet<>();
@@ -199,6 +206,7 @@
             feed = new ViewFeed(store.loop(), () -> store.now, () -> store.now, maxAgeMillis, feedReader::followsStore);
             view = new PlatformView(
                     context, feedReader, feed, new MembershipStatus(() -> store.now, () -> store.now), this::apply);
+            view.setViewListener(freshness::recordView);
             store.loop().schedule(view::start, random.nextInt(1_000), TimeUnit.MILLISECONDS);
             view.setLiveInstanceCount(fleet);
             scheduleRenewal(random.nextInt((int) RENEWAL_INTERVAL_MILLIS));
@@ -259,6 +267,7 @@
         private void apply(PlatformEvent event) {
             if (event instanceof PlatformEvent.ConfigWritten written) {
                 config = written.config();
+                freshness.recordStoredConfiguration(true);
             } else if (event instanceof PlatformEvent.BackendListed listed) {
                 drainingByEntry.put(listed.entry(), listed.backend().draining());
             } else if (event instanceof PlatformEvent.BackendRemoved removed) {
