--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/AccountGate.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/AccountGate.java
@@ -26,11 +26,9 @@
     /** Keys in one line of the log. */
     private static final int KEYS_PER_LINE = 40;
     /**
-     * Proposed delay of callers that are refused because of an outdated configuration; a call to the store that failed
-     * is repeated after this time at the latest.
+     * No delay is requested, so that the caller is sent the shortest one: its next connection probably leads to another
+     * instance, which may have a recent configuration.
      */
-    private static final long OUTDATED_RETRY_MILLIS = 400;
-    /** The delay is unknown or there is none. */
     private static final long NO_DELAY = 0;
 
     private final RoutingState routing;
@@ -48,7 +46,7 @@
      *
      * @param code the error
      * @param reason the reason in words, without the key
-     * @param retryDelayMillis delay after which the caller may retry, in milliseconds; 0 if there is none
+     * @param retryDelayMillis delay after which the caller may retry, in milliseconds; 0 for the usual one
      */
     record Refusal(ErrorCode code, String reason, long retryDelayMillis) {}
 
@@ -123,7 +121,7 @@
             return Verdict.refuse(
                     ErrorCode.CONFIGURATION_OUTDATED,
                     "the configuration may be outdated, so that the key cannot be checked",
-                    OUTDATED_RETRY_MILLIS);
+                    NO_DELAY);
         }
         Credential credential = parse.get();
         if (credential.status() != Credential.Status.PRESENT) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestForwarder.java
@@ -88,7 +88,7 @@
     private long queueUntil;
     /** Time by which the expected response exceeds its limit; determines the retry delay for the caller. */
     private double excessMillis;
-    /** Retry delay for the caller that a decision on its client account requires; 0 if there is none. */
+    /** Retry delay for the caller that a decision on its client account requires; 0 for the usual one. */
     private long requestedDelayMillis;
 
     private int keySlot = ServerSelector.NO_KEY;
@@ -129,6 +129,7 @@
             refuse(ErrorCode.UNKNOWN_SERVICE, "no route for this host and path");
             return;
         }
+        requestLog.setContext(route, null, ServerSelector.NO_KEY);
         if (!requestAccount.authenticate(config, route)) {
             return;
         }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestLog.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RequestLog.java
@@ -34,7 +34,10 @@
         this.requestId = requestId;
     }
 
-    /** Sets the route with its kind, the service and the key slot that the following events contain. */
+    /**
+     * Sets the route with its kind, the service (null if none is selected) and the key slot that the following events
+     * contain.
+     */
     void setContext(HostRoute hostRoute, ServiceName serviceName, int keySlot) {
         route = hostRoute.name();
         kind = hostRoute.kind();
