--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/quota/QuotaOwnerTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/quota/QuotaOwnerTest.java
@@ -31,12 +31,13 @@
     private AccountName accountPrecededByPeer() {
         QuotaMembers order = new QuotaMembers(SELF, status);
         order.setLive(Set.of(SELF, PEER), monotonic);
-        for (int i = 0; ; i++) {
+        for (int i = 0; i < 100; i++) {
             AccountName name = new AccountName("account-" + i);
             if (!order.isFirst(name, monotonic)) {
                 return name;
             }
         }
+        throw new AssertionError("an instance that was seen at the start does not count");
     }
 
     private void advance(long millis) {
