--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/QuotaHookTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/QuotaHookTest.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.function.Consumer;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.DefaultEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -171,7 +172,9 @@
                 .add("Id", "request-1")
                 .add("Authorization", "Scheme " + KEY);
         RequestForwarder forwarder = new RequestForwarder(
-                components, new CallerRequest(HttpMethod.GET, "/x/1", headers, new byte[0], store.now), new Recorder());
+                components,
+                new CallerRequest(HttpMethod.GET, "/x/1", headers, Unpooled.EMPTY_BUFFER, store.now, false),
+                new Recorder());
         forwarder.start();
         return forwarder;
     }
