Compress large records between instances in Java

Result: ViewChangesCodecTest passes with unchanged bounds (2,000 routes below a fifth of their size).

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ValueCompressor.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ValueCompressor.java
@@ -2,16 +2,18 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.zip.DataFormatException;
-import java.util.zip.Deflater;
-import java.util.zip.Inflater;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.compression.DecompressionException;
+import io.netty.handler.codec.compression.Snappy;
 
 /**
  * Compresses the values of large records for other instances. A configuration with thousands of routes repeats the same
- * field names and shrinks to about a tenth.
+ * field names and shrinks to a fraction.
  *
- * <p>The newest result is kept, because the same record is sent to each instance of the failure domain. Confined to the
- * event loop.
+ * <p>A compressed value is a sequence of blocks, each with its length in four bytes. The newest result is kept, because
+ * the same record is sent to each instance of the failure domain. Confined to the event loop.
  */
 final class ValueCompressor {
 
@@ -19,8 +21,8 @@
     static final int MIN_BYTES = 4 * 1024;
     /** Largest size of a decompressed value, the limit of the store. */
     private static final int MAX_BYTES = 1024 * 1024;
-
-    private static final int BUFFER_BYTES = 16 * 1024;
+    /** Size of a block before compression; the encoder refers back by at most 32,767 bytes. */
+    private static final int BLOCK_BYTES = 32_000;
 
     private byte[] newestValue;
     private byte[] newestCompressed;
@@ -28,26 +30,26 @@
     /** Returns the compressed form of a value that is not changed afterwards. */
     byte[] compress(byte[] value) {
         if (value != newestValue) {
-            newestCompressed = deflate(value);
+            newestCompressed = encode(value);
             newestValue = value;
         }
         return newestCompressed;
     }
 
-    private static byte[] deflate(byte[] value) {
-        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
-        try {
-            deflater.setInput(value);
-            deflater.finish();
-            ByteArrayOutputStream output = new ByteArrayOutputStream(BUFFER_BYTES);
-            byte[] buffer = new byte[BUFFER_BYTES];
-            while (!deflater.finished()) {
-                output.write(buffer, 0, deflater.deflate(buffer));
-            }
-            return output.toByteArray();
-        } finally {
-            deflater.end();
+    private static byte[] encode(byte[] value) {
+        ByteBuf output = Unpooled.buffer();
+        Snappy encoder = new Snappy();
+        for (int from = 0; from < value.length; from += BLOCK_BYTES) {
+            int length = Math.min(BLOCK_BYTES, value.length - from);
+            int lengthIndex = output.writerIndex();
+            output.writeInt(0);
+            encoder.encode(Unpooled.wrappedBuffer(value, from, length), output, length);
+            output.setInt(lengthIndex, output.writerIndex() - lengthIndex - Integer.BYTES);
+            encoder.reset();
         }
+        byte[] compressed = new byte[output.readableBytes()];
+        output.readBytes(compressed);
+        return compressed;
     }
 
     /**
@@ -56,26 +58,35 @@
      * @throws IOException if the bytes are not a compressed value, or if the value exceeds the limit of the store
      */
     static byte[] decompress(byte[] compressed) throws IOException {
-        Inflater inflater = new Inflater();
-        try {
-            inflater.setInput(compressed);
-            ByteArrayOutputStream output = new ByteArrayOutputStream(BUFFER_BYTES);
-            byte[] buffer = new byte[BUFFER_BYTES];
-            while (!inflater.finished()) {
-                int count = inflater.inflate(buffer);
-                if (count == 0 && !inflater.finished()) {
-                    throw new IOException("the compressed value is truncated");
-                }
-                output.write(buffer, 0, count);
-                if (output.size() > MAX_BYTES) {
-                    throw new IOException("the value exceeds " + MAX_BYTES + " bytes");
-                }
+        ByteBuf input = Unpooled.wrappedBuffer(compressed);
+        ByteArrayOutputStream output = new ByteArrayOutputStream(BLOCK_BYTES);
+        while (input.isReadable()) {
+            output.write(decodeBlock(input));
+            if (output.size() > MAX_BYTES) {
+                throw new IOException("the value exceeds " + MAX_BYTES + " bytes");
             }
-            return output.toByteArray();
-        } catch (DataFormatException e) {
+        }
+        return output.toByteArray();
+    }
+
+    private static byte[] decodeBlock(ByteBuf input) throws IOException {
+        int length = input.readableBytes() < Integer.BYTES ? -1 : input.readInt();
+        if (length <= 0 || length > input.readableBytes()) {
+            throw new IOException("the compressed value is truncated");
+        }
+        ByteBuf block = input.readSlice(length);
+        // A block that claims to be larger exceeds the capacity.
+        ByteBuf decoded = Unpooled.buffer(BLOCK_BYTES, BLOCK_BYTES);
+        try {
+            new Snappy().decode(block, decoded);
+        } catch (DecompressionException | IndexOutOfBoundsException e) {
             throw new IOException("not a compressed value", e);
-        } finally {
-            inflater.end();
         }
+        if (block.isReadable() || !decoded.isReadable()) {
+            throw new IOException("not a compressed value");
+        }
+        byte[] value = new byte[decoded.readableBytes()];
+        decoded.readBytes(value);
+        return value;
     }
 }
