Treat a response with an invalid status as malformed

Callers saw: a backend server answered with the status 000, and the gateway passed it on as "HTTP/1.1 0 Unknown". The same held for 001, 099, 0, 20, 600, 999, 1000, 2000 and for +20; 0200, 00200 and +200 became 200, and a response that claimed "not run" beside such a status was passed on too.

Cause: the codec parses the status as any integer, and nothing after it checks the range. Interim responses, large responses, state probes, ownership calls, the store and peers are read by the same decoder.

Change: ResponseDecoder accepts three digits from 100 to 599. Any other status fails the exchange as MALFORMED_ANSWER, which already is what bytes that are no response lead to: a repeatable request goes to another server, the caller of an at-most-once request gets 502 with unknown outcome, the server's failure rate rises, and the connection is closed. It works for each reader, because all of them receive what this decoder has decoded.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ResponseDecoder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ResponseDecoder.java
@@ -1,5 +1,7 @@
 package org.jackdawslip.internal.gateway;
 
+import java.util.regex.Pattern;
+
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -8,10 +10,16 @@
 
 /**
  * Decodes responses and detects bytes that belong to no response. The codec alone would keep such bytes as
- * the beginning of the next response. Confined to the event loop.
+ * the beginning of the next response.
+ *
+ * <p>Invariant: a response is decoded without failure only if its status, and that of each interim response before it,
+ * is a status code of HTTP. The codec alone accepts any integer. Confined to the event loop.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+    /** A status code of HTTP: three digits, the first of which is one of the five classes. */
+    private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
+
     private final HttpConnection connection;
 
     ResponseDecoder(HttpConnection connection) {
@@ -34,6 +42,14 @@
         }
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        if (!STATUS_CODE.matcher(initialLine[1]).matches()) {
+            throw new IllegalArgumentException("invalid status code: " + initialLine[1]);
+        }
+        return super.createMessage(initialLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return connection.expectsNoBody() || super.isContentAlwaysEmpty(message);
