Treat a response with a blank in a field name as malformed

Callers saw: a backend server sent a field such as "X Bad: 1", and the gateway passed the response on with the field "X: 1". "Content-Length x: 3" cut the body "hello" to "hel", and "Not-Executed not: 1" made a refusal of a response that was none, so that an at-most-once request was sent to a second server and answered with 503. In trailers and interim responses such a field went unnoticed. "Transfer-Encoding x: chunked" left the response without an end.

Cause: the codec ends the name of a response field at the first space or tab and ignores the bytes from there to the colon.

Every other byte that is not part of a token was already rejected in heads, interim responses and trailers, control bytes among them; the tests keep that.

Change: ResponseDecoder rejects a name that the colon does not follow directly. The exchange ends as MALFORMED_ANSWER, or, if a part of the body was passed on, the response to the caller is cut. The method is called for every field of heads and trailers, so it works for all readers.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ResponseDecoder.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -13,7 +14,8 @@
  * the beginning of the next response.
  *
  * <p>Invariant: a response is decoded without failure only if its status, and that of each interim response before it,
- * is a status code of HTTP. The codec alone accepts any integer. Confined to the event loop.
+ * is a status code of HTTP, and the name of each field, also of trailers, is a token. The codec alone accepts any
+ * integer as a status. Confined to the event loop.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
@@ -50,6 +52,16 @@
         return super.createMessage(initialLine);
     }
 
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        // The codec ends the name of a response field at a blank and ignores the bytes from there to the colon, so
+        // that "Content-Length x" would be taken for a length. It rejects other bytes that are not part of a token.
+        if (line[start + length] != ':') {
+            throw new IllegalArgumentException("blank in the name of a header field");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return connection.expectsNoBody() || super.isContentAlwaysEmpty(message);
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/InternalHttpClientTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/InternalHttpClientTest.java
@@ -20,6 +20,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -122,6 +124,10 @@
     }
 
     private int call(String id, boolean onNewConnection) throws Exception {
+        return response(id, onNewConnection).status();
+    }
+
+    private InternalHttpClient.Response response(String id, boolean onNewConnection) throws Exception {
         CompletableFuture<InternalHttpClient.Response> response = new CompletableFuture<>();
         InternalHttpClient.CallOptions options = new InternalHttpClient.CallOptions(
                 new DefaultHttpHeaders().set("call-id", id), "call-id", onNewConnection);
@@ -133,7 +139,7 @@
                 options,
                 TIMEOUT_MILLIS,
                 response::complete));
-        return response.get().status();
+        return response.get();
     }
 
     private static String response(int status, String id) {
@@ -163,4 +169,26 @@
             assertEquals(i + 2, accepted.get());
         }
     }
+
+    /** Guards against a malformed response of the store, a peer or a control interface that counts as an answer. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 X\r\n",
+                "HTTP/1.1 +200 X\r\n",
+                "HTTP/1.1 2000 X\r\n",
+                "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 0200 X\r\n",
+                "HTTP/1.1 200 X\r\nX Bad: 1\r\n",
+                "HTTP/1.1 200 X\r\nX-Bad : 1\r\n",
+                "HTTP/1.1 200 X\r\nX\u0001Bad: 1\r\n"
+            })
+    void malformedResponseIsNoResponse(String head) throws Exception {
+        responseToCallWithId = head + "call-id: ID\r\nContent-Length: 0\r\n\r\n";
+        InternalHttpClient.Response response = response("first", false);
+        assertEquals(0, response.status());
+        assertEquals(ExchangeFailure.MALFORMED_ANSWER.name(), response.body());
+        responseToCallWithId = response(200, "ID");
+        assertEquals(200, call("second", false));
+        assertEquals(2, accepted.get());
+    }
 }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ResponseDecoderTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ResponseDecoderTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -82,6 +83,11 @@
         private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
         abstract String response(String field);
+
+        /** Returns whether a line that begins with this byte continues the value of the line before it. */
+        boolean continuesLine(int firstByte) {
+            return this == LATER_FIELD && (firstByte == ' ' || firstByte == '\t');
+        }
     }
 
     /** The result of an exchange: the response, or a failure; a large body is received in parts. */
@@ -235,6 +241,48 @@
         assertEquals(expected, result("HTTP/1.1 100\r\n\r\nHTTP/1.1 199 X\r\nA: b\r\n\r\n" + withStatus(status)));
     }
 
+    /**
+     * Guards against a field whose name is passed on although it holds a blank or a control byte, or is passed on
+     * shortened: "Content-Length x" would then determine the length of the body.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void responseWithInvalidFieldNameIsMalformed(Place place) throws Exception {
+        List<String> accepted = new ArrayList<>();
+        int[] invalidBytes = IntStream.range(0, 256)
+                .filter(value -> value != ':' && value != '\n' && TOKEN_CHARACTERS.indexOf(value) < 0)
+                .toArray();
+        for (int invalidByte : invalidBytes) {
+            char invalid = (char) invalidByte;
+            for (String name : List.of("X" + invalid + "Bad", "X-Bad" + invalid, invalid + "X-Bad", "" + invalid)) {
+                String result = place.continuesLine(name.charAt(0)) ? null : result(place.response(name + ": 1"));
+                if (result != null && !result.equals(ExchangeFailure.MALFORMED_ANSWER.name())) {
+                    accepted.add(String.format("byte %02x in %s: %s", invalidByte, name, result));
+                }
+            }
+        }
+        assertEquals(List.of(), accepted);
+    }
+
+    /** Guards against a length that is taken from a field with another name. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length x: 1",
+                "Content-Length : 1",
+                "Content-Length\t: 1",
+                " Content-Length: 1",
+                "Transfer-Encoding x: chunked",
+                "Transfer-Encoding : chunked",
+                ": 1",
+                "Content-Length"
+            })
+    void responseWithInvalidFramingFieldIsMalformed(String field) throws Exception {
+        assertEquals(
+                ExchangeFailure.MALFORMED_ANSWER.name(),
+                result("HTTP/1.1 200 OK\r\n" + field + "\r\nX-Second: 2\r\n\r\nok"));
+    }
+
     @ParameterizedTest
     @EnumSource
     void validFieldsAreAccepted(Place place) throws Exception {
