Treat a status above 599 of a backend server as a lost response

Callers saw: at the product's own entry, a response with the status 600 or 999 was returned as an answer. A grant call that such a response answered with the reason "late" counted as one that took no effect.

Cause: the JDK client rejects a status below 100, but not one above 599, and BackendClient does not check it.

Change: LimitedBodySubscriber, which receives every response of a backend server, fails for a status above 599. The attempt then ends as lost, which says that the request may have run.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/http/LimitedBodySubscriber.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/http/LimitedBodySubscriber.java
@@ -8,22 +8,28 @@
 import java.util.concurrent.Flow;
 
 /**
- * Collects a response body and fails if the body exceeds a limit. Not thread-safe: the JDK client calls it
- * serially.
+ * Collects a response body and fails if the body exceeds a limit or the status of the response is not one of HTTP.
+ *
+ * <p>Invariant: after a failure no response is returned. Not thread-safe: the JDK client calls it serially.
  */
 final class LimitedBodySubscriber implements HttpResponse.BodySubscriber<byte[]> {
 
+    /** The JDK client rejects lower statuses than those of HTTP, but not higher ones. */
+    private static final int MAX_STATUS = 599;
+
     private final HttpResponse.BodySubscriber<byte[]> collector = HttpResponse.BodySubscribers.ofByteArray();
+    private final int status;
     private final int limitBytes;
     private Flow.Subscription subscription;
     private long receivedBytes;
 
-    private LimitedBodySubscriber(int limit) {
+    private LimitedBodySubscriber(int status, int limit) {
+        this.status = status;
         this.limitBytes = limit;
     }
 
     static HttpResponse.BodyHandler<byte[]> handler(int limit) {
-        return information -> new LimitedBodySubscriber(limit);
+        return information -> new LimitedBodySubscriber(information.statusCode(), limit);
     }
 
     @Override
@@ -35,6 +41,14 @@
     public void onSubscribe(Flow.Subscription newSubscription) {
         subscription = newSubscription;
         collector.onSubscribe(newSubscription);
+        if (status > MAX_STATUS) {
+            fail("the response has the invalid status " + status);
+        }
+    }
+
+    private void fail(String problem) {
+        subscription.cancel();
+        collector.onError(new IOException(problem));
     }
 
     @Override
@@ -43,8 +57,7 @@
             receivedBytes += buffer.remaining();
         }
         if (receivedBytes > limitBytes) {
-            subscription.cancel();
-            collector.onError(new IOException("the response body exceeds " + limitBytes + " bytes"));
+            fail("the response body exceeds " + limitBytes + " bytes");
         } else {
             collector.onNext(buffers);
         }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/http/BackendClientTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/http/BackendClientTest.java
@@ -282,6 +282,75 @@
         }
     }
 
+    /** Guards against a response whose status is no status of HTTP, which the caller would get as an answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "001", "099", "0", "20", "0200", "600", "999", "+20", "-20", "20x", "x00"})
+    void responseWithInvalidStatusIsLost(String status) throws Exception {
+        List<String> responses = List.of(
+                "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok",
+                "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 " + status + " X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                "HTTP/1.1 " + status + " X\r\nNot-Run: true\r\nRequest-Id: " + ID + "\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok");
+        try (RawServer server = new RawServer((number, socket) -> RawServer.write(socket, responses.get(number - 1)))) {
+            for (String response : responses) {
+                assertInstanceOf(BackendOutcome.Lost.class, send(server.port(), "POST", "attempt"), response);
+            }
+        }
+    }
+
+    /** Guards against a grant call that counts as one that took no effect because of a malformed response. */
+    @Test
+    void grantResponseWithInvalidStatusProvesNothing() throws Exception {
+        String body = "{\"reason\":\"late\"}";
+        try (RawServer server = new RawServer((number, socket) ->
+                RawServer.write(socket, "HTTP/1.1 600 X\r\nContent-Length: " + body.length() + "\r\n\r\n" + body))) {
+            GrantRequest grants =
+                    new GrantRequest(new InstanceId("i1"), new FencingToken(7), 500, OptionalLong.of(900), List.of());
+            GrantResponse response = client.grant(server(server.port()), grants, Duration.ofSeconds(30))
+                    .get();
+            assertTrue(assertInstanceOf(GrantResponse.Failed.class, response).mayHaveArrived());
+        }
+    }
+
+    /** Responses that are rare but valid must not be taken for malformed ones. */
+    @ParameterizedTest
+    @ValueSource(strings = {"200", "200 ", "200 OK", "299 X", "404 X", "599 X", "599"})
+    void responseWithValidStatusIsReceived(String status) throws Exception {
+        String fields = "!#$%&'*+-.^_`|~09AZaz: 1\t2 \u00e9\u00ff\r\nContent-Length: 2\r\n\r\nok";
+        try (RawServer server = new RawServer((number, socket) ->
+                RawServer.write(socket, "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 " + status + "\r\n" + fields))) {
+            BackendOutcome.ResponseReceived received =
+                    assertInstanceOf(BackendOutcome.ResponseReceived.class, send(server.port(), "POST", "attempt"));
+            assertEquals(Integer.parseInt(status.substring(0, 3)), received.status());
+        }
+    }
+
+    /** Guards against a response with a blank or a control byte in the name of a field. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X Bad",
+                "X-Bad ",
+                "X-Bad\t",
+                "X\tBad",
+                "X\u0001Bad",
+                "\u0000X-Bad",
+                "X-Bad\u007f",
+                "Content-Length x"
+            })
+    void responseWithInvalidFieldNameIsLost(String name) throws Exception {
+        List<String> responses = List.of(
+                "HTTP/1.1 200 OK\r\n" + name + ": 1\r\nContent-Length: 2\r\n\r\nok",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + name + ": 1\r\n\r\nok",
+                "HTTP/1.1 103 X\r\n" + name + ": 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        try (RawServer server = new RawServer((number, socket) -> RawServer.write(socket, responses.get(number - 1)))) {
+            for (String response : responses) {
+                assertInstanceOf(BackendOutcome.Lost.class, send(server.port(), "POST", "attempt"), response);
+            }
+        }
+    }
+
     /** Guards against treating the grant call of a stale sender as accepted. */
     @Test
     void distinguishesAcceptedFromStaleGrants() throws Exception {
