Report an invalid status from another instance as an unknown outcome

Callers would see: an instance returned the status of a relayed or recorded answer as it was. A relay answer without a status, whose field is then 0, reached the caller as a response with the status 0, and so did a status above 599 that an instance of an earlier version relays.

Cause: the status of answers from other instances was not checked.

Change: Exchange, which turns every answer into the response to the caller, accepts the statuses 200 to 599 and ends with OUTCOME_UNKNOWN otherwise, because the request may have run.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/entry/Exchange.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/entry/Exchange.java
@@ -16,11 +16,17 @@
 /**
  * One request inside an instance, from its arrival until its response.
  *
- * <p>Queues identify a request by the identity of its exchange. Not thread-safe; confined to the decision
- * thread, except for {@link #result}, which may be used from any thread.
+ * <p>Invariant: the status of the result is that of a final HTTP response. Queues identify a request by the identity
+ * of its exchange. Not thread-safe; confined to the decision thread, except for {@link #result}, which may be used from
+ * any thread.
  */
 final class Exchange {
 
+    /** Lower statuses of HTTP belong to interim responses. */
+    private static final int MIN_FINAL_STATUS = 200;
+
+    private static final int MAX_STATUS = 599;
+
     final ServiceName service;
     final String method;
     final String path;
@@ -81,7 +87,15 @@
         return new RouteRequest(service, keyHash, hops, deadlineMillis);
     }
 
+    /**
+     * Completes the exchange with the response of a backend server. If its status is not one of a final HTTP response,
+     * the exchange is completed with {@link ErrorCode#OUTCOME_UNKNOWN} instead.
+     */
     void respond(int status, List<HttpHeader> responseHeaders, byte[] responseBody) {
+        if (status < MIN_FINAL_STATUS || status > MAX_STATUS) {
+            fail(ErrorCode.OUTCOME_UNKNOWN, "the response has the invalid status " + status);
+            return;
+        }
         result.complete(new Response(status, responseHeaders, responseBody, Optional.empty(), ""));
     }
 
