Test malformed responses of the store and of instances, and list what the JDK client hides

Cause: the store and the admin addresses are read by the JDK client as well, whose checks of statuses and field names had no test.

Change: ConsulStoreTest and CommandLineTest send statuses from 000 to 999 and blanks and control bytes in names. No product code changes: such a response is no answer of the store, and its instance is shown as silent. RawServer is public for that.

--- a/jackdawslip-cli/src/test/java/org/jackdawslip/cli/CommandLineTest.java
+++ b/jackdawslip-cli/src/test/java/org/jackdawslip/cli/CommandLineTest.java
@@ -1,9 +1,14 @@
 package org.jackdawslip.cli;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -21,8 +26,11 @@
 import org.jackdawslip.standins.StoreServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -262,6 +270,50 @@
         assertTrue(lines[3].contains("silent") && lines[3].contains("cannot be reached"), result.out);
     }
 
+    /** Guards against a malformed response that is shown as the status of an instance. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "000 X",
+                "099 X",
+                "600 X",
+                "999 X",
+                "+20 X",
+                "200 X\r\nX Bad: 1",
+                "200 X\r\nX-Bad : 1",
+                "200 X\r\nX\u0001Bad: 1"
+            })
+    void statusShowsInstanceWithMalformedResponseAsSilent(String head) throws Exception {
+        assertSilent(head);
+    }
+
+    /** Guards against a status code that is accepted because of its first three characters. */
+    @ParameterizedTest
+    @Tag("known-red")
+    @ValueSource(strings = {"2000 X", "20000 X", "200x X"})
+    void statusShowsInstanceWithLongStatusCodeAsSilent(String head) throws Exception {
+        assertSilent(head);
+    }
+
+    private void assertSilent(String head) throws Exception {
+        String body = "{\"instance\":\"a\",\"bundleVersion\":7}";
+        String response = "HTTP/1.1 " + head + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<Result> result =
+                    CompletableFuture.supplyAsync(() -> run("status", "--admin", "127.0.0.1:" + server.getLocalPort()));
+            try (Socket connection = server.accept()) {
+                BufferedReader reader = new BufferedReader(new InputStreamReader(connection.getInputStream()));
+                while (!reader.readLine().isEmpty()) {
+                    // The content of the request does not matter.
+                    continue;
+                }
+                connection.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+                assertExit(ExitCode.UNREACHABLE, result.get());
+                assertTrue(result.get().out.contains("silent"), result.get().out);
+            }
+        }
+    }
+
     /**
      * Guards against a JSON status that omits duplicate instance ids, unreachable failure domains, or ranges
      * without an owner.
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/http/BackendClientTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/http/BackendClientTest.java
@@ -24,6 +24,7 @@
 import org.jackdawslip.internal.bundle.BackendServer;
 import org.jackdawslip.internal.ownership.KeyRange;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -299,6 +300,28 @@
         }
     }
 
+    /** Guards against a status that is accepted because of its first three characters. */
+    @ParameterizedTest
+    @Tag("known-red")
+    @ValueSource(strings = {"2000", "20000", "200x", "200,"})
+    void responseWithLongStatusIsLost(String status) throws Exception {
+        try (RawServer server = new RawServer((number, socket) ->
+                RawServer.write(socket, "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok"))) {
+            assertInstanceOf(BackendOutcome.Lost.class, send(server.port(), "POST", "attempt"));
+        }
+    }
+
+    /** Guards against a response of which one line is returned without its beginning, or not at all. */
+    @ParameterizedTest
+    @Tag("known-red")
+    @ValueSource(strings = {"X\rBad: 1", "X-Bad\r: 1", ": 1", "X-Bad"})
+    void responseWithBrokenFieldLineIsLost(String line) throws Exception {
+        try (RawServer server = new RawServer((number, socket) ->
+                RawServer.write(socket, "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok"))) {
+            assertInstanceOf(BackendOutcome.Lost.class, send(server.port(), "POST", "attempt"));
+        }
+    }
+
     /** Guards against a grant call that counts as one that took no effect because of a malformed response. */
     @Test
     void grantResponseWithInvalidStatusProvesNothing() throws Exception {
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/http/RawServer.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/http/RawServer.java
@@ -18,7 +18,7 @@
  * which may send any bytes or close the connection at any point. Each connection has its own thread, so scripts
  * may run concurrently.
  */
-final class RawServer implements AutoCloseable {
+public final class RawServer implements AutoCloseable {
 
     private final ServerSocket listening;
     private final Script script;
@@ -26,13 +26,13 @@
     final List<String> requestHeads = new CopyOnWriteArrayList<>();
     final Set<Socket> usedConnections = ConcurrentHashMap.newKeySet();
 
-    RawServer(Script script) throws IOException {
+    public RawServer(Script script) throws IOException {
         this.script = script;
         listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         startThread(this::accept);
     }
 
-    int port() {
+    public int port() {
         return listening.getLocalPort();
     }
 
@@ -92,7 +92,7 @@
         thread.start();
     }
 
-    static void write(Socket socket, String text) {
+    public static void write(Socket socket, String text) {
         try {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         } catch (IOException e) {
@@ -115,7 +115,7 @@
 
     /** Responds to one request, or ends its connection. */
     @FunctionalInterface
-    interface Script {
+    public interface Script {
         void respond(int requestNumber, Socket socket) throws IOException;
     }
 }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/store/ConsulStoreTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/store/ConsulStoreTest.java
@@ -1,5 +1,6 @@
 package org.jackdawslip.internal.store;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -7,9 +8,13 @@
 
 import org.jackdawslip.FailureDomainId;
 import org.jackdawslip.InstanceId;
+import org.jackdawslip.internal.http.RawServer;
 import org.jackdawslip.standins.StoreServer;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -103,6 +108,45 @@
         assertEquals(new ListResult.Listed(List.of()), store.listInstances().join());
     }
 
+    /** Guards against a malformed response that counts as an answer of the store. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "000 X",
+                "099 X",
+                "600 X",
+                "999 X",
+                "+20 X",
+                "200 X\r\nX Bad: 1",
+                "200 X\r\nX-Bad : 1",
+                "200 X\r\nX\u0001Bad: 1"
+            })
+    void malformedResponseIsNoAnswer(String head) throws IOException {
+        assertNoAnswer(head);
+    }
+
+    /** Guards against a status that is accepted because of its first three characters. */
+    @ParameterizedTest
+    @Tag("known-red")
+    @ValueSource(strings = {"2000 X", "20000 X", "200x X"})
+    void responseWithLongStatusIsNoAnswer(String head) throws IOException {
+        assertNoAnswer(head);
+    }
+
+    private static void assertNoAnswer(String head) throws IOException {
+        String body = "[{\"ModifyIndex\":7,\"Value\":\"\"}]";
+        try (RawServer malformed = new RawServer((number, socket) -> RawServer.write(
+                        socket, "HTTP/1.1 " + head + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body));
+                Store client = new ConsulStore("127.0.0.1", malformed.port())) {
+            assertInstanceOf(ReadResult.Unavailable.class, client.read(KEY).join());
+            assertInstanceOf(
+                    ListResult.Unavailable.class, client.listInstances().join());
+            assertEquals(
+                    WriteResult.Kind.OUTCOME_UNKNOWN,
+                    client.compareAndSwap(KEY, 0, new byte[] {1}).join().kind());
+        }
+    }
+
     private WriteResult.Kind write(long index, String value) {
         return store.compareAndSwap(KEY, index, value.getBytes(StandardCharsets.UTF_8))
                 .join()
