Log the era of the store and records with lower revisions

view-stale, platform-synced and platform-history-gone state the era that the store states in Store-Era, and the metric store.era shows it. records-older names the first record that came with a lower revision than before. owner-table-loaded states the revision known before and the next token. No decision depends on the era yet.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/DurableStore.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/DurableStore.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 
+import org.jackdawslip.internal.durable.StoreEra;
+
 /**
  * The platform's key-value store as the gateway uses it: transactions, leases and watches. Every call ends
  * with exactly one result, on the event loop.
@@ -46,19 +48,36 @@
      * @param leaseMillis the term of the lease in milliseconds, else 0
      * @param ageMillis how long before the start of the call the result was certainly current, in milliseconds; 0 for
      *     responses of the store itself
+     * @param era the era of the store that the response states; all revisions of the result belong to it
      */
     record Result(
-            Status status, List<StoreRecord> records, long revision, long lease, long leaseMillis, long ageMillis) {
+            Status status,
+            List<StoreRecord> records,
+            long revision,
+            long lease,
+            long leaseMillis,
+            long ageMillis,
+            StoreEra era) {
 
-        /** Creates a result that is as current as its call. */
+        /** Creates a result that is as current as its call, of a store that states no era. */
         public Result(Status status, List<StoreRecord> records, long revision, long lease, long leaseMillis) {
-            this(status, records, revision, lease, leaseMillis, 0);
+            this(status, records, revision, lease, leaseMillis, 0, StoreEra.NONE);
         }
 
         /** Returns a result without content. */
         public static Result of(Status status) {
             return new Result(status, List.of(), 0, 0, 0);
         }
+
+        /** Returns a result without content whose response states an era. */
+        public static Result of(Status status, StoreEra era) {
+            return new Result(status, List.of(), 0, 0, 0, 0, era);
+        }
+
+        /** Returns the same result with another era. */
+        public Result withEra(StoreEra newEra) {
+            return new Result(status, records, revision, lease, leaseMillis, ageMillis, newEra);
+        }
     }
 
     /**
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -244,6 +244,9 @@
         metrics.registerGauge("responses.buffered.bytes", directory::bufferedResponseBytes);
         metrics.registerGauge("servers.transit.bytes", directory::transitBytes);
         metrics.registerGauge("store.lost", () -> view.storeLost() ? 1 : 0);
+        metrics.registerGauge("store.era", () -> view.statedEra().number());
+        metrics.registerGauge("view.stale.responses", view::staleResponses);
+        metrics.registerGauge("view.older.records", view::olderRecords);
         metrics.registerGauge("store.direct", () -> reader.direct() ? 1 : 0);
         metrics.registerGauge("store.answers.through.peers", reader::relayedResponses);
         metrics.registerGauge("view.follows.store", () -> feedReader.followsStore() ? 1 : 0);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -432,8 +432,12 @@
                     service,
                     "segments",
                     table.segments().size(),
+                    "nextToken",
+                    table.nextToken(),
                     "revision",
-                    tableRevision);
+                    tableRevision,
+                    "known",
+                    routing.ownerView(service).revision());
         }
 
         private void writeTable(KeyTable table, Consumer<DurableStore.Result> whenDone) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -9,6 +9,7 @@
 import java.util.function.LongConsumer;
 
 import io.netty.channel.EventLoop;
+import org.jackdawslip.internal.durable.StoreEra;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
 import org.jackdawslip.internal.time.MonotonicClock;
@@ -96,6 +97,12 @@
     private long newestViewAt;
     /** The highest revision of the store in a response. */
     private long newestRevision;
+    /** The era that the newest response of the store stated. */
+    private StoreEra statedEra = StoreEra.NONE;
+    /** Responses of the store with a revision below one that it stated before. */
+    private long staleResponses;
+    /** Records in responses of the store with a revision below the one of the same record before. */
+    private long olderRecords;
     /** Receives {@link #newestViewAt} after the changes of a response were applied. */
     private LongConsumer viewListener = currentAt -> {};
 
@@ -190,6 +197,21 @@
         return storeLost;
     }
 
+    /** Returns the era that the newest response of the store stated. */
+    StoreEra statedEra() {
+        return statedEra;
+    }
+
+    /** Returns the number of responses of the store with a revision below one that it stated before. */
+    long staleResponses() {
+        return staleResponses;
+    }
+
+    /** Returns the number of records that the store returned with a lower revision than before. */
+    long olderRecords() {
+        return olderRecords;
+    }
+
     /** Returns whether the last known results show that the store serves direct calls of this instance. */
     boolean isServedDirectly() {
         return !storeLost && reader.direct();
@@ -210,6 +232,7 @@
 
     private void handleReadResult(DurableStore.Result result, long sentAt) {
         recordView(sentAt, "read", result);
+        logOlderRecords("read", result);
         Set<String> present = new HashSet<>();
         for (DurableStore.StoreRecord storeRecord : result.records()) {
             present.add(storeRecord.key());
@@ -222,7 +245,14 @@
         }
         viewRevision = result.revision();
         if (!synced) {
-            log.info("platform-synced", "revision", viewRevision, "records", present.size());
+            log.info(
+                    "platform-synced",
+                    "revision",
+                    viewRevision,
+                    "era",
+                    result.era().number(),
+                    "records",
+                    present.size());
         }
         if (!synced) {
             feed.start(viewRevision);
@@ -267,6 +297,7 @@
                     return;
                 }
                 recordView(sentAt, "watch", result);
+                logOlderRecords("watch", result);
                 result.records().forEach(this::apply);
                 viewRevision = Math.max(viewRevision, result.revision());
                 feed.update(viewRevision, newestViewAt);
@@ -274,7 +305,12 @@
                 scheduleNext(this::watch, result.records().isEmpty() ? 0 : delayAfterChanges());
             }
             case HISTORY_GONE -> {
-                log.info("platform-history-gone", "revision", viewRevision);
+                log.info(
+                        "platform-history-gone",
+                        "revision",
+                        viewRevision,
+                        "era",
+                        result.era().number());
                 readAll();
             }
             default -> {
@@ -351,9 +387,22 @@
      */
     private void recordView(long sentAt, String call, DurableStore.Result result) {
         long currentAt = sentAt - result.ageMillis();
+        if (result.ageMillis() == 0) {
+            statedEra = result.era();
+        }
         if (result.ageMillis() == 0 && result.revision() < newestRevision) {
             // The store returned an older state, which shows nothing about later changes.
-            log.warn("view-stale", "call", call, "revision", result.revision(), "known", newestRevision);
+            staleResponses++;
+            log.warn(
+                    "view-stale",
+                    "call",
+                    call,
+                    "revision",
+                    result.revision(),
+                    "known",
+                    newestRevision,
+                    "era",
+                    result.era().number());
             return;
         }
         newestRevision = Math.max(newestRevision, result.revision());
@@ -375,6 +424,35 @@
         newestViewAt = Math.max(newestViewAt, currentAt);
     }
 
+    /** Logs records that the store returned with a lower revision than before, which are not applied. */
+    private void logOlderRecords(String call, DurableStore.Result result) {
+        DurableStore.StoreRecord first = null;
+        int count = 0;
+        for (DurableStore.StoreRecord storeRecord : result.records()) {
+            if (storeRecord.revision() < revisions.getOrDefault(storeRecord.key(), 0L)) {
+                first = first == null ? storeRecord : first;
+                count++;
+            }
+        }
+        if (first != null) {
+            olderRecords += count;
+            log.warn(
+                    "records-older",
+                    "call",
+                    call,
+                    "records",
+                    count,
+                    "first",
+                    first.key(),
+                    "revision",
+                    first.revision(),
+                    "known",
+                    revisions.get(first.key()),
+                    "era",
+                    result.era().number());
+        }
+    }
+
     /** Sets the number of live instances, this one included. */
     void setLiveInstanceCount(int count) {
         liveInstances = count;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewChangesCodec.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewChangesCodec.java
@@ -6,6 +6,7 @@
 
 import com.google.protobuf.CodedInputStream;
 import com.google.protobuf.WireFormat;
+import org.jackdawslip.internal.durable.StoreEra;
 
 /**
  * Encodes and decodes the changes that instances pass on to each other, in protobuf wire format. Stateless and
@@ -66,7 +67,7 @@
                 default -> input.skipField(tag);
             }
         }
-        return new DurableStore.Result(DurableStore.Status.DONE, changes, revision, 0, 0, ageMillis);
+        return new DurableStore.Result(DurableStore.Status.DONE, changes, revision, 0, 0, ageMillis, StoreEra.NONE);
     }
 
     private static DurableStore.StoreRecord decodeChange(byte[] bytes) throws IOException {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeed.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeed.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
+import org.jackdawslip.internal.durable.StoreEra;
 import org.jackdawslip.internal.time.MonotonicClock;
 import org.jackdawslip.internal.time.SuspensionDetector;
 import org.jackdawslip.internal.time.WallClock;
@@ -162,7 +163,7 @@
                     .filter(change -> change.revision() > afterRevision)
                     .toList();
             whenDone.accept(new DurableStore.Result(
-                    DurableStore.Status.DONE, newer, revision, 0, 0, clock.millis() - currentAt));
+                    DurableStore.Status.DONE, newer, revision, 0, 0, clock.millis() - currentAt, StoreEra.NONE));
         }
     }
 }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ViewChangesCodecTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ViewChangesCodecTest.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 
+import org.jackdawslip.internal.durable.StoreEra;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
@@ -31,7 +32,7 @@
     }
 
     private static DurableStore.Result result(DurableStore.StoreRecord... records) {
-        return new DurableStore.Result(DurableStore.Status.DONE, List.of(records), 12, 0, 0, 34);
+        return new DurableStore.Result(DurableStore.Status.DONE, List.of(records), 12, 0, 0, 34, StoreEra.NONE);
     }
 
     /** Guards against a change that is altered or lost between two instances. */
