Read all records again once the store comes back from an earlier copy

What callers saw: after such a return, a confirmed configuration was not in force until the store's revisions were as high as before; requests ran at earlier services or got 404.

Cause: revisions are given out again after the return, and every comparison of revisions took the new ones for older. The view skipped the changes and passed none on to the instances that follow it.

Change: StoreEraTracker knows the era that the store states. EraCheckedStore checks it for each response, direct or relayed: a response of an earlier era is no answer, a watch across eras ends like one without history, and a write across eras has an unknown outcome. A new era drops the known revisions, reads all records again and gives up the role of the key coordinator. A relaying instance passes the era on.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FailoverReader.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FailoverReader.java
@@ -146,6 +146,11 @@
         nextProbeAt = clock.millis();
     }
 
+    /** Forgets the newest revision, because the store came back from an earlier copy. */
+    void storeRestored() {
+        newestRevision = 0;
+    }
+
     @Override
     public void readAll(String prefix, long timeoutMillis, Consumer<DurableStore.Result> whenDone) {
         new Call("read", false, (reader, elapsed, done) -> reader.readAll(prefix, timeoutMillis, done), whenDone)
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -19,6 +19,8 @@
 import org.jackdawslip.internal.account.ConfigurationFreshness;
 import org.jackdawslip.internal.balance.Balancer;
 import org.jackdawslip.internal.concurrent.Clocks;
+import org.jackdawslip.internal.durable.StoreEra;
+import org.jackdawslip.internal.durable.StoreEraTracker;
 import org.jackdawslip.internal.keyspace.KeyMoveAnnouncement;
 import org.jackdawslip.internal.limits.ClientLimits;
 import org.jackdawslip.internal.logging.AsyncLineWriter;
@@ -72,6 +74,7 @@
     private final RoutingState routing;
     private final BackendDirectory directory;
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final StoreEraTracker eras = new StoreEraTracker();
     private final FailoverReader reader;
     private final FeedReader feedReader;
     private final ViewFeed feed;
@@ -88,6 +91,8 @@
     private final ConfigurationFreshness freshness;
     private final AccountGate accounts;
     private boolean established;
+    /** How often the store came back from an earlier copy. */
+    private long restoredCount;
     /** Time when the next check of the delay of the event loop is due; 0 before the first check. */
     private long loopCheckDueAt;
 
@@ -117,10 +122,13 @@
         routing = new RoutingState(settings, log, random, membershipStatus);
         directory = new BackendDirectory(group, clock, log, membershipStatus, adapter.headers(), random);
         InternalHttpClient storeClient = storeClient(CONNECTIONS_PER_ADDRESS);
-        DurableStore store = storeFactory.apply(storeClient, settings.storeAddress());
+        DurableStore store = new EraCheckedStore(storeFactory.apply(storeClient, settings.storeAddress()), eras);
         context = new GatewayContext(settings, loop, clock, log, adapter, store);
         InternalHttpClient peerClient = storeClient(CONNECTIONS_PER_ADDRESS);
-        reader = new FailoverReader(context, peer -> storeFactory.apply(peerClient, peer), peerClient::removeAddress);
+        reader = new FailoverReader(
+                context,
+                peer -> new EraCheckedStore(storeFactory.apply(peerClient, peer), eras),
+                peerClient::removeAddress);
         feedReader = new FeedReader(context, reader, new ViewFeedClient(storeClient(CONNECTIONS_PER_ADDRESS)));
         ChangeTimeBudget budget = new ChangeTimeBudget(settings.platformLimits().maxChangeMillis());
         feed = new ViewFeed(loop, clock, Clocks.wall(), budget.maxSourceViewAgeMillis(), feedReader::followsStore);
@@ -155,6 +163,7 @@
                 metrics.accounts(),
                 log);
         view.setViewListener(accounts::recordView);
+        eras.subscribe(this::storeRestored);
         RequestComponents components = new RequestComponents(
                 loop, clock, log, adapter, routing, directory, balancer, peers, metrics, plannedStop, accounts);
         CallerResources resources =
@@ -244,7 +253,9 @@
         metrics.registerGauge("responses.buffered.bytes", directory::bufferedResponseBytes);
         metrics.registerGauge("servers.transit.bytes", directory::transitBytes);
         metrics.registerGauge("store.lost", () -> view.storeLost() ? 1 : 0);
-        metrics.registerGauge("store.era", () -> view.statedEra().number());
+        metrics.registerGauge("store.era", () -> eras.current().number());
+        metrics.registerGauge("store.restored", () -> restoredCount);
+        metrics.registerGauge("store.responses.rejected", eras::rejectedResponses);
         metrics.registerGauge("view.stale.responses", view::staleResponses);
         metrics.registerGauge("view.older.records", view::olderRecords);
         metrics.registerGauge("store.direct", () -> reader.direct() ? 1 : 0);
@@ -255,6 +266,15 @@
         metrics.registerGauge("store.calls.for.peers", relay::relayedCalls);
     }
 
+    /** Drops what this instance knows of the earlier state of the store. */
+    private void storeRestored(StoreEra earlier, StoreEra current) {
+        restoredCount++;
+        log.warn("store-restored", "era", current.number(), "earlier", earlier.number());
+        keyCoordinatorRole.storeRestored();
+        reader.storeRestored();
+        view.storeRestored();
+    }
+
     private void announce(KeyMoveAnnouncement announcement) {
         applyMoveAnnouncement(announcement);
         peers.announce(announcement);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HeaderNames.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/HeaderNames.java
@@ -17,6 +17,7 @@
  * @param account name of the client account of a request, for the backend server
  * @param credentialScheme scheme of the Authorization header with the key of a client account
  * @param handover state that a backend server returns with a release, for the next owner of the keys
+ * @param storeEra the era of the store, in all its responses
  */
 public record HeaderNames(
         String requestId,
@@ -31,7 +32,8 @@
         String leaving,
         String account,
         String credentialScheme,
-        String handover) {
+        String handover,
+        String storeEra) {
 
     /** Value of the header by which a backend server states that it is shutting down. */
     public static final String LEAVING = "1";
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -342,6 +342,13 @@
         }
     }
 
+    /** Gives up the role, because the store came back from an earlier copy and the lease may be gone. */
+    void storeRestored() {
+        if (roleHeld) {
+            loseRole("the store came back from an earlier copy");
+        }
+    }
+
     /** Ends the lease of the role, so that another instance can take over without waiting for the expiry. */
     void stop() {
         stopped = true;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -9,7 +9,6 @@
 import java.util.function.LongConsumer;
 
 import io.netty.channel.EventLoop;
-import org.jackdawslip.internal.durable.StoreEra;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
 import org.jackdawslip.internal.time.MonotonicClock;
@@ -97,8 +96,6 @@
     private long newestViewAt;
     /** The highest revision of the store in a response. */
     private long newestRevision;
-    /** The era that the newest response of the store stated. */
-    private StoreEra statedEra = StoreEra.NONE;
     /** Responses of the store with a revision below one that it stated before. */
     private long staleResponses;
     /** Records in responses of the store with a revision below the one of the same record before. */
@@ -160,6 +157,16 @@
         return ++newestCallNumber;
     }
 
+    /** Reads all records again, because the store came back from an earlier copy and gives out revisions again. */
+    void storeRestored() {
+        feed.suspend();
+        newestRevision = 0;
+        revisions.replaceAll((key, revision) -> 0L);
+        if (!stopped && synced) {
+            readAll();
+        }
+    }
+
     /** Ends reads and watches. Pending results are ignored. */
     void stop() {
         stopped = true;
@@ -197,11 +204,6 @@
         return storeLost;
     }
 
-    /** Returns the era that the newest response of the store stated. */
-    StoreEra statedEra() {
-        return statedEra;
-    }
-
     /** Returns the number of responses of the store with a revision below one that it stated before. */
     long staleResponses() {
         return staleResponses;
@@ -387,9 +389,6 @@
      */
     private void recordView(long sentAt, String call, DurableStore.Result result) {
         long currentAt = sentAt - result.ageMillis();
-        if (result.ageMillis() == 0) {
-            statedEra = result.era();
-        }
         if (result.ageMillis() == 0 && result.revision() < newestRevision) {
             // The store returned an older state, which shows nothing about later changes.
             staleResponses++;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StoreRelay.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StoreRelay.java
@@ -29,9 +29,9 @@
  * of the {@link ViewFeed}.
  *
  * <p>A call is sent to the store unchanged after it arrived here, and the response of the store is returned
- * unchanged, so a relayed response is as current as a direct one. Only read calls are relayed. Calls are
- * refused with status 503 at once while the store does not serve this instance either, so that an outage of
- * the store causes no further calls to it, and while {@link #MAX_CALLS_IN_FLIGHT} calls are in flight.
+ * unchanged, with the era that it states, so a relayed response is as current as a direct one. Only read calls are
+ * relayed. Calls are refused with status 503 at once while the store does not serve this instance either, so that an
+ * outage of the store causes no further calls to it, and while {@link #MAX_CALLS_IN_FLIGHT} calls are in flight.
  * Relayed calls use separate connections, so they delay no call of this instance. A call is never forwarded
  * to a third instance. Confined to the event loop, except for {@link #start}.
  */
@@ -106,6 +106,7 @@
     }
 
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final String eraHeader = context.adapter().headers().storeEra();
         private boolean callPending;
 
         @Override
@@ -136,7 +137,13 @@
                             HttpResponseStatus status = response.received()
                                     ? HttpResponseStatus.valueOf(response.status())
                                     : HttpResponseStatus.GATEWAY_TIMEOUT;
-                            respond(channel, keepAlive, status, response.received() ? response.body() : "");
+                            byte[] body = response.received() ? response.content() : new byte[0];
+                            respond(
+                                    channel,
+                                    keepAlive,
+                                    status,
+                                    response.headers().get(eraHeader),
+                                    body);
                         });
             }
         }
@@ -161,10 +168,18 @@
         }
 
         private void respond(ChannelHandlerContext channel, boolean keepAlive, HttpResponseStatus status, byte[] body) {
+            respond(channel, keepAlive, status, null, body);
+        }
+
+        private void respond(
+                ChannelHandlerContext channel, boolean keepAlive, HttpResponseStatus status, String era, byte[] body) {
             callPending = false;
             FullHttpResponse response =
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            if (era != null) {
+                response.headers().set(eraHeader, era);
+            }
             HttpUtil.setKeepAlive(response, keepAlive);
             channel.writeAndFlush(response)
                     .addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/QuotaHookTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/QuotaHookTest.java
@@ -62,7 +62,8 @@
             "Leaving",
             "Account",
             "Scheme",
-            "Handover");
+            "Handover",
+            "Era");
     private static final long TIMEOUT_MILLIS = 1_500;
 
     private final SimulatedStore store = new SimulatedStore();
