Pass a view on between instances only within one era of the store

Cause: an instance that had seen revision 455 skipped changes up to that revision and went on to tell its followers the highest revision without the changes. A follower that had read revision 360 of the new state got the changes 361 to 455 of the lost one, and the revision 455.

Change: an instance states its era with its watch and gets the era in the result; another one, or none while the store states one, is refused at the source and not used by the follower, which then asks the store. Earlier versions ignore the new query parameter and the new field, and count as era 0. The source drops its changes with each era, and once it got an older state in the same era. A result of a watch that began in an earlier era ends as HISTORY_GONE.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FailoverReader.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FailoverReader.java
@@ -34,12 +34,13 @@
  * {@link #MAX_PEERS_PER_CALL} peers. The {@link StoreRelay} of a peer that has detected that the store does
  * not serve it refuses promptly.
  *
- * <p>Invariants: a response of a peer is valid only if its revision is at least the newest revision known
- * when the call began, so a peer cannot set the view back. A watch ends at the time at which a watch without
- * peers would end, a read at most {@link ChangeTimeBudget#PAGE_READ_MILLIS} later. While the store serves no
- * instance, the store receives one call for each call of this reader, because peers refuse to relay calls. The
- * result of a direct call changes the state only if that call was sent after the direct call that changed the
- * state last; otherwise the response to a watch that was already waiting before a refusal would hide the refusal.
+ * <p>Invariants: a response of a peer is valid only if its revision is at least the newest revision of the same
+ * era of the store that was known when the call began, so a peer cannot set the view back. A watch ends at the
+ * time at which a watch without peers would end, a read at most {@link ChangeTimeBudget#PAGE_READ_MILLIS} later.
+ * While the store serves no instance, the store receives one call for each call of this reader, because peers
+ * refuse to relay calls. The result of a direct call changes the state only if that call was sent after the direct
+ * call that changed the state last; otherwise the response to a watch that was already waiting before a refusal
+ * would hide the refusal.
  *
  * <p>A relaying peer forwards calls to the store and does not return its own view of the records: a view received
  * from a peer would be as old as the view of that peer plus the transfer time, so the limit of its age would
@@ -90,6 +91,9 @@
     private DurableStore.Status lastDirectFailure;
 
     private long newestRevision;
+    /** How often the store came back from an earlier copy; revisions are compared only while it stays the same. */
+    private long restoredCount;
+
     private long relayedResponses;
 
     /** A peer that may be called. Immutable. */
@@ -148,6 +152,7 @@
 
     /** Forgets the newest revision, because the store came back from an earlier copy. */
     void storeRestored() {
+        restoredCount++;
         newestRevision = 0;
     }
 
@@ -177,6 +182,7 @@
         private final Consumer<DurableStore.Result> whenDone;
         private final long startedAt = clock.millis();
         private final long minRevision = newestRevision;
+        private final long startedInRestoredCount = restoredCount;
         private final Set<Candidate> calledPeers = new HashSet<>();
         private boolean directPending;
         private int peersPending;
@@ -291,7 +297,9 @@
         }
 
         private boolean isNotOlder(DurableStore.Result result) {
-            return result.status() != DurableStore.Status.DONE || result.revision() >= minRevision;
+            return result.status() != DurableStore.Status.DONE
+                    || startedInRestoredCount != restoredCount
+                    || result.revision() >= minRevision;
         }
 
         private void complete(DurableStore.Result result) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FeedReader.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/FeedReader.java
@@ -6,6 +6,8 @@
 import java.util.function.Consumer;
 
 import org.jackdawslip.InstanceId;
+import org.jackdawslip.internal.durable.StoreEra;
+import org.jackdawslip.internal.durable.StoreEraTracker;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.InstanceOrder;
 import org.jackdawslip.internal.time.MonotonicClock;
@@ -23,7 +25,7 @@
  * failed source costs one call to the store for each instance. Reads of all records always go to the store.
  *
  * <p>Invariant: a result through a source has the age of the view of the source, so that its content is never taken as
- * newer than it is. Confined to the event loop.
+ * newer than it is, and it belongs to the era of the store in which the watch started. Confined to the event loop.
  */
 final class FeedReader implements StoreReader {
 
@@ -36,6 +38,7 @@
         /** Waits for changes in the view of the instance at the address; see {@link ViewFeed#watch}. */
         void watch(
                 String address,
+                StoreEra era,
                 long afterRevision,
                 long waitMillis,
                 long timeoutMillis,
@@ -44,6 +47,7 @@
 
     private final FailoverReader store;
     private final SourceClient sourceClient;
+    private final StoreEraTracker eras;
     private final InstanceOrder.Candidate self;
     private final MonotonicClock clock;
     private final EventLog log;
@@ -62,9 +66,15 @@
     /** An instance of the own failure domain. Immutable and thread-safe. */
     private record Source(InstanceId id, String address) {}
 
-    FeedReader(GatewayContext context, FailoverReader store, SourceClient sourceClient) {
+    /**
+     * Creates a reader that follows the store.
+     *
+     * @param eras the era of the store, as its responses to this instance state it
+     */
+    FeedReader(GatewayContext context, FailoverReader store, SourceClient sourceClient, StoreEraTracker eras) {
         this.store = store;
         this.sourceClient = sourceClient;
+        this.eras = eras;
         this.self = context.settings().candidate();
         this.clock = context.clock();
         this.log = context.log();
@@ -131,18 +141,23 @@
             return;
         }
         Source source = followed;
+        StoreEra era = eras.current();
         long sourceWaitMillis = budget.sourceWaitMillis();
         sourceClient.watch(
                 source.address,
+                era,
                 afterRevision,
                 sourceWaitMillis,
                 sourceWaitMillis + ChangeTimeBudget.WATCH_RESPONSE_MILLIS,
                 result -> {
-                    if (result.status() == DurableStore.Status.DONE) {
+                    if (!eras.current().equals(era)) {
+                        whenDone.accept(DurableStore.Result.of(DurableStore.Status.HISTORY_GONE, eras.current()));
+                    } else if (result.status() == DurableStore.Status.DONE
+                            && result.era().equals(era)) {
                         resultsOfSources++;
                         whenDone.accept(result);
                     } else {
-                        pause(source, result.status());
+                        pause(source, result);
                         watchStore(prefix, afterRevision, waitMillis, timeoutMillis, whenDone);
                     }
                 });
@@ -171,9 +186,16 @@
                 .orElse(null);
     }
 
-    private void pause(Source source, DurableStore.Status status) {
+    private void pause(Source source, DurableStore.Result result) {
         pausedUntil.put(source.id, clock.millis() + SOURCE_PAUSE_MILLIS);
-        log.info("view-source-failed", "source", source.id, "status", status);
+        log.info(
+                "view-source-failed",
+                "source",
+                source.id,
+                "status",
+                result.status(),
+                "era",
+                result.era().number());
         if (source.equals(followed)) {
             followed = null;
         }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -129,7 +129,7 @@
                 context,
                 peer -> new EraCheckedStore(storeFactory.apply(peerClient, peer), eras),
                 peerClient::removeAddress);
-        feedReader = new FeedReader(context, reader, new ViewFeedClient(storeClient(CONNECTIONS_PER_ADDRESS)));
+        feedReader = new FeedReader(context, reader, new ViewFeedClient(storeClient(CONNECTIONS_PER_ADDRESS)), eras);
         ChangeTimeBudget budget = new ChangeTimeBudget(settings.platformLimits().maxChangeMillis());
         feed = new ViewFeed(loop, clock, Clocks.wall(), budget.maxSourceViewAgeMillis(), feedReader::followsStore);
         relay = new StoreRelay(context, storeClient(StoreRelay.MAX_CALLS_IN_FLIGHT), feed, reader::direct);
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -9,6 +9,7 @@
 import java.util.function.LongConsumer;
 
 import io.netty.channel.EventLoop;
+import org.jackdawslip.internal.durable.StoreEra;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
 import org.jackdawslip.internal.time.MonotonicClock;
@@ -68,6 +69,8 @@
 
     private final Map<String, Long> revisions = new HashMap<>();
     private long viewRevision;
+    /** The era of the store to which the view belongs. */
+    private StoreEra viewEra = StoreEra.NONE;
     /** Number of the newest read or watch; the results of earlier ones are ignored. */
     private long newestCallNumber;
     /** Time when the newest call was started or scheduled. */
@@ -233,7 +236,12 @@
     }
 
     private void handleReadResult(DurableStore.Result result, long sentAt) {
-        recordView(sentAt, "read", result);
+        boolean eraEnded = !result.era().equals(viewEra);
+        viewEra = result.era();
+        if (!synced || eraEnded) {
+            feed.start(viewEra, result.revision());
+        }
+        boolean current = recordView(sentAt, "read", result);
         logOlderRecords("read", result);
         Set<String> present = new HashSet<>();
         for (DurableStore.StoreRecord storeRecord : result.records()) {
@@ -256,11 +264,10 @@
                     "records",
                     present.size());
         }
-        if (!synced) {
-            feed.start(viewRevision);
-        }
         synced = true;
-        feed.update(viewRevision, newestViewAt);
+        if (current) {
+            feed.update(viewRevision, newestViewAt);
+        }
         viewListener.accept(newestViewAt);
         watch();
     }
@@ -290,6 +297,10 @@
         long elapsedMillis = clock.millis() - sentAt;
         switch (result.status()) {
             case DONE -> {
+                if (!result.era().equals(viewEra)) {
+                    readAll();
+                    return;
+                }
                 recordResponse(elapsedMillis - budget.watchWaitMillis(), ChangeTimeBudget.WATCH_RESPONSE_MILLIS);
                 if (reader.followsStore() && result.records().isEmpty() && result.revision() > viewRevision) {
                     // All keys are below the watched prefix, so the watch missed the changes that raised the
@@ -298,11 +309,13 @@
                     readAll();
                     return;
                 }
-                recordView(sentAt, "watch", result);
+                boolean current = recordView(sentAt, "watch", result);
                 logOlderRecords("watch", result);
                 result.records().forEach(this::apply);
                 viewRevision = Math.max(viewRevision, result.revision());
-                feed.update(viewRevision, newestViewAt);
+                if (current) {
+                    feed.update(viewRevision, newestViewAt);
+                }
                 viewListener.accept(newestViewAt);
                 scheduleNext(this::watch, result.records().isEmpty() ? 0 : delayAfterChanges());
             }
@@ -386,8 +399,10 @@
     /**
      * Records a response that shows all changes up to the start of its call, and logs the previous age of the
      * view.
+     *
+     * @return whether the response is of the newest known state of the store
      */
-    private void recordView(long sentAt, String call, DurableStore.Result result) {
+    private boolean recordView(long sentAt, String call, DurableStore.Result result) {
         long currentAt = sentAt - result.ageMillis();
         if (result.ageMillis() == 0 && result.revision() < newestRevision) {
             // The store returned an older state, which shows nothing about later changes.
@@ -402,7 +417,9 @@
                     newestRevision,
                     "era",
                     result.era().number());
-            return;
+            // Changes with revisions up to the newest one may be skipped, so other instances must not rely on them.
+            feed.start(viewEra, newestRevision);
+            return false;
         }
         newestRevision = Math.max(newestRevision, result.revision());
         membershipStatus.recordView(currentAt);
@@ -421,6 +438,7 @@
                     clock.millis() - newestViewAt);
         }
         newestViewAt = Math.max(newestViewAt, currentAt);
+        return true;
     }
 
     /** Logs records that the store returned with a lower revision than before, which are not applied. */
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StoreRelay.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/StoreRelay.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import org.jackdawslip.JackdawslipException;
 
 /**
  * Forwards read calls to the platform's store for instances that the store does not serve, and accepts the watches
@@ -158,7 +159,7 @@
                             done ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                             done ? ViewChangesCodec.encode(result, compressor) : new byte[0]);
                 });
-            } catch (IllegalArgumentException e) {
+            } catch (IllegalArgumentException | JackdawslipException e) {
                 respond(channel, keepAlive, HttpResponseStatus.BAD_REQUEST, e.getMessage());
             }
         }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewChangesCodec.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewChangesCodec.java
@@ -17,6 +17,9 @@
     private static final int REVISION = 1;
     private static final int AGE = 2;
     private static final int CHANGE = 3;
+    /** Missing in messages of earlier versions, and if the store states no era. */
+    private static final int ERA = 4;
+
     private static final int CHANGE_KEY = 1;
     /** Missing if the record was removed. */
     private static final int CHANGE_VALUE = 2;
@@ -31,6 +34,9 @@
         return PeerMessages.encode(output -> {
             output.writeInt64(REVISION, result.revision());
             output.writeInt64(AGE, result.ageMillis());
+            if (!result.era().equals(StoreEra.NONE)) {
+                output.writeInt64(ERA, result.era().number());
+            }
             for (DurableStore.StoreRecord change : result.records()) {
                 output.writeByteArray(CHANGE, encode(change, compressor));
             }
@@ -58,16 +64,21 @@
         CodedInputStream input = CodedInputStream.newInstance(bytes);
         long revision = 0;
         long ageMillis = 0;
+        long era = 0;
         List<DurableStore.StoreRecord> changes = new ArrayList<>();
         for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case REVISION -> revision = input.readInt64();
                 case AGE -> ageMillis = input.readInt64();
+                case ERA -> era = input.readInt64();
                 case CHANGE -> changes.add(decodeChange(input.readByteArray()));
                 default -> input.skipField(tag);
             }
         }
-        return new DurableStore.Result(DurableStore.Status.DONE, changes, revision, 0, 0, ageMillis, StoreEra.NONE);
+        if (era < 0) {
+            throw new IOException("store era " + era + " is negative");
+        }
+        return new DurableStore.Result(DurableStore.Status.DONE, changes, revision, 0, 0, ageMillis, new StoreEra(era));
     }
 
     private static DurableStore.StoreRecord decodeChange(byte[] bytes) throws IOException {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeed.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeed.java
@@ -19,9 +19,9 @@
  * of them watches the store ({@link FeedReader}).
  *
  * <p>A watch of the feed is answered as soon as the view has newer changes, or after its wait, with the age of the
- * view. Invariants: watches are answered only while this instance follows the store itself, and only with a view that
- * is at most as old as the limit; all changes after the revision of a watch are in its answer, or it is refused.
- * Confined to the event loop.
+ * view. Invariants: watches are answered only while this instance follows the store itself, only in the era of the
+ * store to which the view belongs, and only with a view that is at most as old as the limit; all changes after the
+ * revision of a watch are in its answer, or it is refused. Confined to the event loop.
  */
 final class ViewFeed {
 
@@ -46,6 +46,7 @@
     /** All changes after this revision, up to the revision of the view, are kept. */
     private long completeAfter = Long.MAX_VALUE;
 
+    private StoreEra era = StoreEra.NONE;
     private long revision;
     private long currentAt;
     private long answeredWatches;
@@ -69,9 +70,18 @@
         this.suspensions = new SuspensionDetector(clock, wallClock);
     }
 
-    /** Starts with a complete view at the revision. Earlier changes are not known. */
-    void start(long newRevision) {
+    /**
+     * Starts with a complete view at the revision. Refuses all watches until the next update; changes that were added
+     * before are dropped.
+     *
+     * @param newEra the era of the store to which the revision belongs
+     */
+    void start(StoreEra newEra, long newRevision) {
+        suspend();
+        era = newEra;
         completeAfter = newRevision;
+        changes.clear();
+        bytes = 0;
     }
 
     /** Adds a change of the view. */
@@ -127,13 +137,14 @@
     /**
      * Waits for changes after a revision.
      *
+     * @param watchedEra the era of the store to which the revision belongs
      * @param whenDone receives the changes, possibly none, with the age of the view;
      *     {@link DurableStore.Status#REFUSED} if this instance cannot tell
      */
-    void watch(long afterRevision, long waitMillis, Consumer<DurableStore.Result> whenDone) {
-        Watch watch = new Watch(afterRevision, whenDone);
+    void watch(StoreEra watchedEra, long afterRevision, long waitMillis, Consumer<DurableStore.Result> whenDone) {
+        Watch watch = new Watch(watchedEra, afterRevision, whenDone);
         watches.add(watch);
-        if (!isServing() || afterRevision < revision) {
+        if (!isServing() || !watchedEra.equals(era) || afterRevision < revision) {
             watch.end();
         } else {
             loop.schedule(watch::end, waitMillis, TimeUnit.MILLISECONDS);
@@ -142,10 +153,12 @@
 
     /** A pending watch of another instance. */
     private final class Watch {
+        private final StoreEra watchedEra;
         private final long afterRevision;
         private final Consumer<DurableStore.Result> whenDone;
 
-        Watch(long afterRevision, Consumer<DurableStore.Result> whenDone) {
+        Watch(StoreEra watchedEra, long afterRevision, Consumer<DurableStore.Result> whenDone) {
+            this.watchedEra = watchedEra;
             this.afterRevision = afterRevision;
             this.whenDone = whenDone;
         }
@@ -154,7 +167,7 @@
             if (!watches.remove(this)) {
                 return;
             }
-            if (!isServing() || afterRevision < completeAfter) {
+            if (!isServing() || !watchedEra.equals(era) || afterRevision < completeAfter) {
                 whenDone.accept(DurableStore.Result.of(DurableStore.Status.REFUSED));
                 return;
             }
@@ -163,7 +176,7 @@
                     .filter(change -> change.revision() > afterRevision)
                     .toList();
             whenDone.accept(new DurableStore.Result(
-                    DurableStore.Status.DONE, newer, revision, 0, 0, clock.millis() - currentAt, StoreEra.NONE));
+                    DurableStore.Status.DONE, newer, revision, 0, 0, clock.millis() - currentAt, era));
         }
     }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeedClient.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/ViewFeedClient.java
@@ -1,11 +1,14 @@
 package org.jackdawslip.internal.gateway;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.function.Consumer;
 
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import org.jackdawslip.JackdawslipException;
+import org.jackdawslip.internal.durable.StoreEra;
 
 /**
  * Both ends of the calls to a {@link ViewFeed} over HTTP: sends them to other instances, and passes those of other
@@ -16,6 +19,8 @@
     private static final String PATH = "/view-changes";
     private static final String AFTER = "after";
     private static final String WAIT = "wait";
+    /** Missing in calls of earlier versions, and if the store states no era. */
+    private static final String ERA = "era";
 
     private final InternalHttpClient client;
 
@@ -32,10 +37,13 @@
      * Passes a call to the feed.
      *
      * @throws IllegalArgumentException if a parameter is missing or not a number
+     * @throws JackdawslipException if the era is not valid
      */
     static void dispatch(ViewFeed feed, String uri, Consumer<DurableStore.Result> whenDone) {
         QueryStringDecoder query = new QueryStringDecoder(uri);
-        feed.watch(number(query, AFTER), number(query, WAIT), whenDone);
+        List<String> era = query.parameters().get(ERA);
+        feed.watch(
+                StoreEra.parse(era == null ? null : era.get(0)), number(query, AFTER), number(query, WAIT), whenDone);
     }
 
     private static long number(QueryStringDecoder query, String parameter) {
@@ -48,11 +56,13 @@
     @Override
     public void watch(
             String address,
+            StoreEra era,
             long afterRevision,
             long waitMillis,
             long timeoutMillis,
             Consumer<DurableStore.Result> whenDone) {
-        String uri = PATH + "?" + AFTER + "=" + afterRevision + "&" + WAIT + "=" + waitMillis;
+        String uri = PATH + "?" + AFTER + "=" + afterRevision + "&" + WAIT + "=" + waitMillis
+                + (era.equals(StoreEra.NONE) ? "" : "&" + ERA + "=" + era);
         client.call(address, HttpMethod.GET, uri, null, timeoutMillis, response -> whenDone.accept(decode(response)));
     }
 
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FailoverReaderTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FailoverReaderTest.java
@@ -247,4 +247,19 @@
         watch();
         assertEquals(1, store.pendingCalls.size());
     }
+
+    /** Guards against valid responses that are ignored because revisions of an earlier era were higher. */
+    @Test
+    void callFromBeforeAReturnOfTheStoreAcceptsLowerRevisions() {
+        read();
+        store.completeOldest(done(9));
+        read();
+        reader.storeRestored();
+        store.completeOldest(refused());
+        peer(0).completeOldest(done(3));
+        assertEquals(3, results.get(1).revision());
+        read();
+        peer(0).completeOldest(done(2));
+        assertEquals(2, calledPeers.stream().distinct().count(), "a lower revision of the same era");
+    }
 }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FaultToleranceTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FaultToleranceTest.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jackdawslip.InstanceId;
 import org.jackdawslip.internal.balance.LoadReport;
+import org.jackdawslip.internal.durable.StoreEraTracker;
 import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.logging.AsyncLineWriter;
 import org.jackdawslip.internal.logging.EventLog;
@@ -81,9 +82,13 @@
                     throw new AssertionError("no peer is known");
                 },
                 peer -> {});
-        FeedReader feedReader = new FeedReader(context, reader, (address, after, wait, timeout, done) -> {
-            throw new AssertionError("no source is known");
-        });
+        FeedReader feedReader = new FeedReader(
+                context,
+                reader,
+                (address, era, after, wait, timeout, done) -> {
+                    throw new AssertionError("no source is known");
+                },
+                new StoreEraTracker());
         ViewFeed feed = new ViewFeed(store.loop(), () -> store.now, () -> store.now, 2_000, feedReader::followsStore);
         MembershipStatus membershipStatus = new MembershipStatus(() -> store.now, () -> store.now);
         return new PlatformView(
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FeedSourceOrderTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/FeedSourceOrderTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 
 import org.jackdawslip.InstanceId;
+import org.jackdawslip.internal.durable.StoreEraTracker;
 import org.jackdawslip.internal.logging.AsyncLineWriter;
 import org.jackdawslip.internal.logging.EventLog;
 import org.junit.jupiter.api.Test;
@@ -31,7 +32,11 @@
         GatewayContext context =
                 new GatewayContext(settings, store.loop(), () -> store.now, log, null, store.new Client());
         FailoverReader failover = new FailoverReader(context, address -> store.new Client(), address -> {});
-        return new FeedReader(context, failover, (address, after, wait, timeout, whenDone) -> followed.add(address));
+        return new FeedReader(
+                context,
+                failover,
+                (address, era, after, wait, timeout, whenDone) -> followed.add(address),
+                new StoreEraTracker());
     }
 
     private static Map<InstanceId, PeerExchange.Peer> peers(double... linkMegabitsPerSecond) {
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
@@ -25,6 +25,8 @@
 import org.jackdawslip.internal.account.ConfigurationFreshness;
 import org.jackdawslip.internal.balance.Backend;
 import org.jackdawslip.internal.balance.LoadReport;
+import org.jackdawslip.internal.durable.StoreEra;
+import org.jackdawslip.internal.durable.StoreEraTracker;
 import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.logging.AsyncLineWriter;
 import org.jackdawslip.internal.logging.EventLog;
@@ -201,7 +203,7 @@
             GatewayContext context =
                     new GatewayContext(settings(id, limitMillis), store.loop(), () -> store.now, log, adapter, client);
             reader = new FailoverReader(context, peer -> new RelayPath(this, peer), peer -> {});
-            feedReader = new FeedReader(context, reader, this::watchSource);
+            feedReader = new FeedReader(context, reader, this::watchSource, new StoreEraTracker());
             long maxAgeMillis = new ChangeTimeBudget(limitMillis).maxSourceViewAgeMillis();
             feed = new ViewFeed(store.loop(), () -> store.now, () -> store.now, maxAgeMillis, feedReader::followsStore);
             view = new PlatformView(
@@ -215,6 +217,7 @@
         /** Watches the feed of another instance. */
         private void watchSource(
                 String address,
+                StoreEra era,
                 long afterRevision,
                 long waitMillis,
                 long timeoutMillis,
@@ -234,7 +237,7 @@
             }
             schedule(
                     LINK_DELAY_MILLIS,
-                    () -> source.feed.watch(afterRevision, waitMillis, result -> {
+                    () -> source.feed.watch(era, afterRevision, waitMillis, result -> {
                         if (!source.silent) {
                             schedule(LINK_DELAY_MILLIS, () -> once.accept(result));
                         }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/StaleViewTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/StaleViewTest.java
@@ -11,6 +11,8 @@
 import java.util.function.Consumer;
 
 import org.jackdawslip.InstanceId;
+import org.jackdawslip.internal.durable.StoreEra;
+import org.jackdawslip.internal.durable.StoreEraTracker;
 import org.jackdawslip.internal.logging.AsyncLineWriter;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
@@ -23,6 +25,9 @@
 /** Guards against a response of the store that counts as current before it was applied or although it is older. */
 class StaleViewTest {
 
+    /** Longer than the delay of the next watch after changes. */
+    private static final long WATCH_DELAY_MILLIS = 500;
+
     private final SimulatedStore time = new SimulatedStore();
     private final AsyncLineWriter lines =
             new AsyncLineWriter(new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8));
@@ -34,6 +39,7 @@
     }
 
     private final List<String> events = new ArrayList<>();
+    private ViewFeed feed;
 
     private void respond(long revision, DurableStore.StoreRecord... records) {
         time.run(100);
@@ -63,8 +69,9 @@
                 adapter,
                 store);
         FailoverReader reader = new FailoverReader(context, peer -> store, peer -> {});
-        FeedReader feedReader = new FeedReader(context, reader, (address, after, wait, timeout, done) -> {});
-        ViewFeed feed = new ViewFeed(time.loop(), () -> time.now, () -> time.now, 2_000, feedReader::followsStore);
+        FeedReader feedReader = new FeedReader(
+                context, reader, (address, era, after, wait, timeout, done) -> {}, new StoreEraTracker());
+        feed = new ViewFeed(time.loop(), () -> time.now, () -> time.now, 2_000, feedReader::followsStore);
         PlatformView view = new PlatformView(
                 context,
                 feedReader,
@@ -93,4 +100,27 @@
         respond(11, new DurableStore.StoreRecord("second", new byte[1], 11));
         assertEquals(List.of("first", "view of 1000", "second", "view of 1100"), events);
     }
+
+    /** Returns the status of a watch of another instance. */
+    private DurableStore.Status statusOfWatch(long afterRevision) {
+        List<DurableStore.Status> statuses = new ArrayList<>();
+        feed.watch(StoreEra.NONE, afterRevision, 0, result -> statuses.add(result.status()));
+        time.run(2);
+        return statuses.get(0);
+    }
+
+    /** Guards against an instance that skips changes and passes on the revision after them. */
+    @Test
+    void viewThatSkippedChangesIsNotPassedOn() {
+        respond(5);
+        respond(10, new DurableStore.StoreRecord("first", new byte[1], 10));
+        assertEquals(DurableStore.Status.DONE, statusOfWatch(8));
+        time.run(WATCH_DELAY_MILLIS);
+        respond(8, new DurableStore.StoreRecord("first", new byte[1], 8));
+        assertEquals(DurableStore.Status.REFUSED, statusOfWatch(8));
+        time.run(WATCH_DELAY_MILLIS);
+        respond(11, new DurableStore.StoreRecord("second", new byte[1], 11));
+        assertEquals(DurableStore.Status.REFUSED, statusOfWatch(8));
+        assertEquals(DurableStore.Status.DONE, statusOfWatch(10));
+    }
 }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ViewChangesCodecTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/ViewChangesCodecTest.java
@@ -83,4 +83,17 @@
         byte[] tooLarge = compressor.compress(new byte[1024 * 1024 + 1]);
         assertThrows(IOException.class, () -> ValueCompressor.decompress(tooLarge));
     }
+
+    /** Guards against a message that is taken for one of another era. An earlier version states none. */
+    @Test
+    void eraIsDecodedAsItWasEncoded() throws IOException {
+        StoreEra era = new StoreEra(1L << 40);
+        assertEquals(
+                era,
+                ViewChangesCodec.decode(ViewChangesCodec.encode(result().withEra(era), compressor))
+                        .era());
+        byte[] withoutEra = ViewChangesCodec.encode(result(), compressor);
+        assertArrayEquals(new byte[] {8, 12, 16, 34}, withoutEra);
+        assertEquals(StoreEra.NONE, ViewChangesCodec.decode(withoutEra).era());
+    }
 }
