Hold records of a copy of the store that would relax what is in force

After the store came back from an earlier copy, an instance that reads all records again removed each server that the copy did not list, used servers again that drain or have ended, and brought failure domains back, until the operator and the servers had written again, about two seconds later. A missing configuration counted as one that cannot be used.

Cause: the read of the new era is applied like any other, although the copy is older than what is in force.

Change: RestoredStoreHold compares each record of the first read after a return with what is in force. What is missing or would relax is held until the view is 1,900 ms newer than that read, listings of other instances 10 s. What is unchanged is not applied again, because a listing would make its server cold. Changes that were made after the return, by their revision or because a watch shows them, apply at once. A second return starts the hold anew. An instance that knew nothing applies all at once. While the configuration of the copy may be an earlier one, the view does not count as recent for keys of accounts. An instance that reads all records again during the hold does not continue its feed across that read, because it cannot tell whether a missing record was there after the return. The removal that an outage delayed no longer takes effect in a later era, in which the same revision can mean another state.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
@@ -77,6 +77,16 @@
         this.listener = listener;
     }
 
+    /** Returns whether the name of a record of this router is one of a listing. */
+    static boolean isListing(String name) {
+        return name.startsWith(LISTING_PREFIX);
+    }
+
+    /** Returns the store key of the listing of an instance. */
+    static String listingKey(PlatformAdapter adapter, InstanceId instance) {
+        return adapter.routerRecordKey(LISTING_PREFIX + instance);
+    }
+
     /** Keeps the listing of this instance in the store. */
     void start() {
         context.every(RENEWAL_INTERVAL_MILLIS, "listing-stall", () -> {
@@ -113,7 +123,7 @@
                             settings.domain().value(),
                             Double.toString(settings.instanceLimits().linkMegabitsPerSecond()))
                     .getBytes(StandardCharsets.UTF_8);
-            String key = adapter.routerRecordKey(LISTING_PREFIX + settings.instance());
+            String key = listingKey(adapter, settings.instance());
             DurableStore.Transaction transaction = new DurableStore.Transaction(
                     List.of(), List.of(new DurableStore.StoreRecord(key, value, 0)), listingLease);
             store.commit(transaction, writeResult -> {
@@ -182,7 +192,7 @@
      * @return whether the record is a listing of an instance
      */
     boolean applyRecord(String name, byte[] value, long revision) {
-        if (!name.startsWith(LISTING_PREFIX)) {
+        if (!isListing(name)) {
             return false;
         }
         try {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -19,11 +20,13 @@
  * changes, at the store or at another instance that watches the store ({@link FeedReader}), and passes the changes
  * on ({@link ViewFeed}).
  *
- * <p>While the store cannot be reached, neither directly nor through a peer ({@link FailoverReader}), the
- * last copy stays in use. Listings that are missing when the store can be reached again are kept for
- * {@link #RELISTING_MILLIS}, because backend servers whose listing expired during the outage need time to
- * write a new one. Invariant: while the store can be reached, the listener receives a change within the times
- * of {@link ChangeTimeBudget}, even if a single call fails or gets no response. Confined to the event loop.
+ * <p>While the store cannot be reached, neither directly nor through a peer ({@link FailoverReader}), the last copy
+ * stays in use. Listings that are missing when the store can be reached again are kept for {@link
+ * #RELISTING_MILLIS}, because backend servers whose listing expired during the outage need time to write a new one.
+ * After the store came back from an earlier copy of itself, records of the copy that would relax what is in force
+ * are held ({@link RestoredStoreHold}). Invariant: while the store can be reached, the listener receives a change
+ * within the times of {@link ChangeTimeBudget}, even if a single call fails or gets no response. Confined to the
+ * event loop.
  */
 final class PlatformView {
 
@@ -67,6 +70,12 @@
     /** Differs between instances, to spread the retries of a fleet whose watches failed at the same time. */
     private final long firstRetryDelayMillis;
 
+    private final RestoredStoreHold hold;
+    /** Records, or the absence of records, that take effect at the end of the hold. */
+    private final Map<String, DurableStore.StoreRecord> heldRecords = new HashMap<>();
+    /** How often the store came back from an earlier copy. */
+    private long restoredCount;
+
     private final Map<String, Long> revisions = new HashMap<>();
     private long viewRevision;
     /** The era of the store to which the view belongs. */
@@ -122,6 +131,7 @@
         this.membershipStatus = membershipStatus;
         this.listener = listener;
         GatewaySettings settings = context.settings();
+        this.hold = new RestoredStoreHold(adapter, MemberListings.listingKey(adapter, settings.instance()));
         this.budget = new ChangeTimeBudget(settings.platformLimits().maxChangeMillis());
         this.minOutageUntilExpiryMillis =
                 MIN_HEARTBEATS_UNTIL_EXPIRY * settings.platformLimits().heartbeatIntervalMillis()
@@ -163,6 +173,11 @@
     /** Reads all records again, because the store came back from an earlier copy and gives out revisions again. */
     void storeRestored() {
         feed.suspend();
+        restoredCount++;
+        heldRecords.clear();
+        if (synced) {
+            hold.begin();
+        }
         newestRevision = 0;
         revisions.replaceAll((key, revision) -> 0L);
         if (!stopped && synced) {
@@ -238,21 +253,35 @@
     private void handleReadResult(DurableStore.Result result, long sentAt) {
         boolean eraEnded = !result.era().equals(viewEra);
         viewEra = result.era();
-        if (!synced || eraEnded) {
+        if (!synced || eraEnded || hold.isActive(newestViewAt)) {
+            // Whether a missing record was there after the return is not known, so that it cannot be passed on.
             feed.start(viewEra, result.revision());
         }
+        hold.recordRead(result.revision(), clock.millis());
         boolean current = recordView(sentAt, "read", result);
         logOlderRecords("read", result);
         Set<String> present = new HashSet<>();
         for (DurableStore.StoreRecord storeRecord : result.records()) {
             present.add(storeRecord.key());
-            apply(storeRecord);
+            apply(storeRecord, false);
         }
         for (String key : Set.copyOf(revisions.keySet())) {
             if (!present.contains(key)) {
-                apply(new DurableStore.StoreRecord(key, null, result.revision()));
+                // A revision above 0 shows that the record was there after the last return of the store.
+                apply(new DurableStore.StoreRecord(key, null, result.revision()), revisions.get(key) > 0);
             }
         }
+        if (!heldRecords.isEmpty()) {
+            log.info(
+                    "records-held",
+                    "records",
+                    heldRecords.size(),
+                    "first",
+                    heldRecords.keySet().iterator().next(),
+                    "era",
+                    viewEra.number());
+        }
+        releaseHeldRecords();
         viewRevision = result.revision();
         if (!synced) {
             log.info(
@@ -268,7 +297,7 @@
         if (current) {
             feed.update(viewRevision, newestViewAt);
         }
-        viewListener.accept(newestViewAt);
+        notifyViewListener();
         watch();
     }
 
@@ -311,12 +340,13 @@
                 }
                 boolean current = recordView(sentAt, "watch", result);
                 logOlderRecords("watch", result);
-                result.records().forEach(this::apply);
+                result.records().forEach(storeRecord -> apply(storeRecord, true));
+                releaseHeldRecords();
                 viewRevision = Math.max(viewRevision, result.revision());
                 if (current) {
                     feed.update(viewRevision, newestViewAt);
                 }
-                viewListener.accept(newestViewAt);
+                notifyViewListener();
                 scheduleNext(this::watch, result.records().isEmpty() ? 0 : delayAfterChanges());
             }
             case HISTORY_GONE -> {
@@ -475,8 +505,12 @@
         liveInstances = count;
     }
 
-    /** Applies a change of a record unless a newer one is known. */
-    private void apply(DurableStore.StoreRecord storeRecord) {
+    /**
+     * Applies a change of a record unless a newer one is known.
+     *
+     * @param written whether the change was certainly made after the last return of the store
+     */
+    private void apply(DurableStore.StoreRecord storeRecord, boolean written) {
         long knownRevision = revisions.getOrDefault(storeRecord.key(), 0L);
         if (storeRecord.revision() <= knownRevision) {
             return;
@@ -484,23 +518,81 @@
         feed.add(storeRecord);
         if (storeRecord.value() != null) {
             revisions.put(storeRecord.key(), storeRecord.revision());
+        }
+        RestoredStoreHold.Decision decision = decide(storeRecord, written);
+        if (decision == RestoredStoreHold.Decision.HOLD) {
+            heldRecords.put(storeRecord.key(), storeRecord);
+            return;
+        }
+        heldRecords.remove(storeRecord.key());
+        if (decision == RestoredStoreHold.Decision.UNCHANGED) {
+            return;
+        }
+        if (storeRecord.value() != null) {
             notifyListener(storeRecord);
             return;
         }
         long delayMillis = outageEndedAt + RELISTING_MILLIS - clock.millis();
         if (delayMillis > 0 && adapter.decode(storeRecord) instanceof PlatformEvent.BackendRemoved) {
             log.info("listing-kept", "key", storeRecord.key(), "forMillis", delayMillis, "outageMillis", outageMillis);
-            loop.schedule(() -> removeIfUnchanged(storeRecord, knownRevision), delayMillis, TimeUnit.MILLISECONDS);
+            long era = restoredCount;
+            loop.schedule(
+                    () -> {
+                        if (era == restoredCount) {
+                            removeIfUnchanged(storeRecord, knownRevision);
+                        }
+                    },
+                    delayMillis,
+                    TimeUnit.MILLISECONDS);
         } else {
             revisions.remove(storeRecord.key());
             notifyListener(storeRecord);
         }
     }
 
+    private RestoredStoreHold.Decision decide(DurableStore.StoreRecord storeRecord, boolean written) {
+        if (!hold.isActive(newestViewAt)) {
+            return RestoredStoreHold.Decision.APPLY;
+        }
+        try {
+            return hold.decide(storeRecord, adapter.decode(storeRecord), written, newestViewAt);
+        } catch (RuntimeException | StackOverflowError e) {
+            // The same fault is reported when the record is passed to the listener.
+            return RestoredStoreHold.Decision.APPLY;
+        }
+    }
+
+    /**
+     * Applies the held records whose time has ended. The view is then so recent that it contains what was written again
+     * within that time.
+     */
+    private void releaseHeldRecords() {
+        for (DurableStore.StoreRecord storeRecord : List.copyOf(heldRecords.values())) {
+            if (hold.remainingMillis(storeRecord.key(), newestViewAt) > 0) {
+                continue;
+            }
+            heldRecords.remove(storeRecord.key());
+            log.info("record-released", "key", storeRecord.key(), "present", storeRecord.value() != null);
+            if (storeRecord.value() == null) {
+                revisions.remove(storeRecord.key());
+            }
+            notifyListener(storeRecord);
+        }
+    }
+
+    /** Reports the age of the view, unless the store may have lost a configuration that it confirmed before. */
+    private void notifyViewListener() {
+        if (!hold.mayHoldOlderConfiguration(newestViewAt)) {
+            viewListener.accept(newestViewAt);
+        }
+    }
+
     /** Passes a record to the listener. An exception of the listener must not end the watch for changes. */
     private void notifyListener(DurableStore.StoreRecord storeRecord) {
         try {
-            listener.accept(adapter.decode(storeRecord));
+            PlatformEvent event = adapter.decode(storeRecord);
+            listener.accept(event);
+            hold.recordApplied(storeRecord, event);
         } catch (RuntimeException | StackOverflowError e) {
             log.warnTaskFailure("record " + storeRecord.key(), e);
         } catch (OutOfMemoryError e) {
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedStore.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedStore.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -10,10 +12,11 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
+import org.jackdawslip.internal.durable.StoreEra;
 
 /**
  * Simulates the platform's store on simulated time: revisions, pages, watches, a change history that can be
- * dropped, and faults of the store and of the network path to it. Not thread-safe.
+ * dropped, returns from an earlier copy, and faults of the store and of the network path to it. Not thread-safe.
  */
 final class SimulatedStore {
 
@@ -29,6 +32,7 @@
     private final TreeMap<String, DurableStore.StoreRecord> recordsByKey = new TreeMap<>();
     private final List<DurableStore.StoreRecord> history = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
+    private StoreEra era = StoreEra.NONE;
     private long revision = 1;
     private long historyStartRevision = 1;
     private long responseMillis = USUAL_RESPONSE_MILLIS;
@@ -68,6 +72,40 @@
         }
     }
 
+    /** The state of the store at a time. Immutable and thread-safe. */
+    record Copy(
+            Map<String, DurableStore.StoreRecord> records,
+            List<DurableStore.StoreRecord> history,
+            long revision,
+            long historyStartRevision) {}
+
+    Copy takeCopy() {
+        return new Copy(Map.copyOf(recordsByKey), List.copyOf(history), revision, historyStartRevision);
+    }
+
+    /** Lets the store come back from a copy. A part of the pending watches is cut, the others stay. */
+    void restore(Copy copy, Random random) {
+        era = new StoreEra(era.number() + 1);
+        recordsByKey.clear();
+        recordsByKey.putAll(copy.records);
+        history.clear();
+        history.addAll(copy.history);
+        revision = copy.revision;
+        historyStartRevision = copy.historyStartRevision;
+        changesWithheld = false;
+        for (Watch watch : List.copyOf(watches)) {
+            if (random.nextBoolean()) {
+                watch.end(DurableStore.Result.of(DurableStore.Status.UNKNOWN));
+            }
+        }
+    }
+
+    /** Returns the value of a record, or null if there is none. */
+    String get(String key) {
+        DurableStore.StoreRecord storeRecord = recordsByKey.get(key);
+        return storeRecord == null ? null : new String(storeRecord.value(), StandardCharsets.UTF_8);
+    }
+
     private void applyChange(DurableStore.StoreRecord storeRecord) {
         if (storeRecord.value() != null) {
             recordsByKey.put(storeRecord.key(), storeRecord);
@@ -203,9 +241,11 @@
                 } else if (!watch && lostReadResponses > 0) {
                     lostReadResponses--;
                 } else {
+                    // A connection that is cut states no era.
+                    Result stated = result.status() == Status.UNKNOWN ? result : result.withEra(era);
                     schedule(
                             responseMillis / 2 + transferMillis(result) + eventLoopDelayMillis,
-                            () -> once.accept(result));
+                            () -> once.accept(stated));
                 }
             };
             schedule(responseMillis / 2, () -> {
@@ -230,15 +270,11 @@
 
         @Override
         public void readAll(String prefix, long timeoutMillis, Consumer<Result> whenDone) {
-            readPage("", new ArrayList<>(), -1, timeoutMillis, whenDone);
+            readPage("", new ArrayList<>(), null, timeoutMillis, whenDone);
         }
 
         private void readPage(
-                String afterKey,
-                List<StoreRecord> read,
-                long firstRevision,
-                long timeoutMillis,
-                Consumer<Result> whenDone) {
+                String afterKey, List<StoreRecord> read, Result first, long timeoutMillis, Consumer<Result> whenDone) {
             boolean[] truncated = new boolean[1];
             callAndRespond(
                     timeoutMillis,
@@ -247,12 +283,17 @@
                             whenDone.accept(page);
                             return;
                         }
+                        Result firstPage = first == null ? page : first;
+                        if (!page.era().equals(firstPage.era())) {
+                            whenDone.accept(Result.of(Status.UNKNOWN, page.era()));
+                            return;
+                        }
                         read.addAll(page.records());
-                        long revisionBefore = firstRevision < 0 ? page.revision() : firstRevision;
                         if (truncated[0]) {
-                            readPage(read.get(read.size() - 1).key(), read, revisionBefore, timeoutMillis, whenDone);
+                            readPage(read.get(read.size() - 1).key(), read, firstPage, timeoutMillis, whenDone);
                         } else {
-                            whenDone.accept(new Result(Status.DONE, read, revisionBefore, 0, 0));
+                            whenDone.accept(
+                                    new Result(Status.DONE, read, firstPage.revision(), 0, 0).withEra(firstPage.era()));
                         }
                     },
                     () -> {
@@ -268,7 +309,7 @@
         public void watch(
                 String prefix, long afterRevision, long waitMillis, long timeoutMillis, Consumer<Result> whenDone) {
             call(true, timeoutMillis, whenDone, respond -> {
-                if (afterRevision < historyStartRevision) {
+                if (afterRevision < historyStartRevision || afterRevision > revision) {
                     respond.accept(Result.of(Status.HISTORY_GONE));
                     return;
                 }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedViews.java
@@ -17,26 +17,16 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
-import io.netty.handler.codec.http.HttpHeaders;
-import org.jackdawslip.BackendServerId;
 import org.jackdawslip.FailureDomainId;
 import org.jackdawslip.InstanceId;
-import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.account.ConfigurationFreshness;
-import org.jackdawslip.internal.balance.Backend;
-import org.jackdawslip.internal.balance.LoadReport;
 import org.jackdawslip.internal.durable.StoreEra;
 import org.jackdawslip.internal.durable.StoreEraTracker;
-import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.logging.AsyncLineWriter;
 import org.jackdawslip.internal.logging.EventLog;
 import org.jackdawslip.internal.membership.MembershipStatus;
 import org.jackdawslip.internal.time.SuspensionDetector;
-import org.jackdawslip.internal.traffic.CallerLimits;
-import org.jackdawslip.internal.traffic.HostRoute;
-import org.jackdawslip.internal.traffic.RequestKind;
 import org.jackdawslip.internal.traffic.RoutingConfig;
-import org.jackdawslip.internal.traffic.WeightedService;
 
 /** Simulates a fleet of instances with their views of one simulated store. Not thread-safe. */
 final class SimulatedViews {
@@ -45,7 +35,6 @@
     static final long REVOCATION_MILLIS = 5_000;
 
     static final String HOST = "a.example";
-    private static final ServiceName SERVICE = new ServiceName("pool");
     private static final int SERVERS = 250;
     private static final int DOMAINS = 3;
     private static final long RENEWAL_INTERVAL_MILLIS = 2_500;
@@ -64,7 +53,7 @@
     private final int domains;
     private final AsyncLineWriter lines;
     private final Random random;
-    private final Adapter adapter = new Adapter();
+    private final PlatformAdapter adapter = new SimulatedAdapter();
     private final Set<String> cutLinks = new HashSet<>();
     /** Largest number of calls that one instance relayed for its peers at the same time. */
     int maxCallsForPeers;
@@ -100,12 +89,23 @@
         for (int i = 0; i < count; i++) {
             instances.add(new Instance(i, count));
         }
-        for (Instance instance : instances) {
-            Map<InstanceId, PeerExchange.Peer> live = new HashMap<>();
-            instances.forEach(each ->
-                    live.put(each.id, new PeerExchange.Peer(each.address, each.domain == instance.domain, 100)));
-            instance.feedReader.setLivePeers(live);
-        }
+        instances.forEach(this::setLivePeers);
+    }
+
+    private void setLivePeers(Instance instance) {
+        Map<InstanceId, PeerExchange.Peer> live = new HashMap<>();
+        instances.forEach(
+                each -> live.put(each.id, new PeerExchange.Peer(each.address, each.domain == instance.domain, 100)));
+        instance.feedReader.setLivePeers(live);
+    }
+
+    /** Ends the process of an instance and starts a new one, which knows nothing. */
+    Instance restart(int number) {
+        instances.get(number).stop();
+        Instance instance = new Instance(number, instances.size());
+        instances.set(number, instance);
+        setLivePeers(instance);
+        return instance;
     }
 
     private void writeTable() {
@@ -163,6 +163,11 @@
         }
     }
 
+    /** Restores all links between instances. */
+    void restoreLinks() {
+        cutLinks.clear();
+    }
+
     /** Applies a fault to a random instance through which others follow the store, if there is one. */
     void faultAtSource(Consumer<Instance> fault) {
         List<Instance> sources = instances.stream()
@@ -191,24 +196,37 @@
                 () -> store.now, new SuspensionDetector(() -> store.now, () -> store.now), REVOCATION_MILLIS);
         RoutingConfig config;
         final Map<String, Boolean> drainingByEntry = new HashMap<>();
+        final Map<String, Long> startByEntry = new HashMap<>();
         final Set<FailureDomainId> takenOut = new HashSet<>();
+        final Set<String> members = new HashSet<>();
+        /** Receives each event before it is applied. */
+        Consumer<PlatformEvent> observer = event -> {};
+
+        private final StoreEraTracker eras = new StoreEraTracker();
+        private final EraCheckedStore checkedClient = new EraCheckedStore(client, eras);
         private int callsForPeers;
         private boolean silent;
+        private boolean stopped;
 
         Instance(int number, int fleet) {
             id = new InstanceId("front-" + number);
             domain = number % domains;
             address = InetSocketAddress.createUnresolved(id.value(), 1);
             EventLog log = new EventLog(lines, id.value(), () -> store.now);
-            GatewayContext context =
-                    new GatewayContext(settings(id, limitMillis), store.loop(), () -> store.now, log, adapter, client);
-            reader = new FailoverReader(context, peer -> new RelayPath(this, peer), peer -> {});
-            feedReader = new FeedReader(context, reader, this::watchSource, new StoreEraTracker());
+            GatewayContext context = new GatewayContext(
+                    settings(id, limitMillis), store.loop(), () -> store.now, log, adapter, checkedClient);
+            reader = new FailoverReader(
+                    context, peer -> new EraCheckedStore(new RelayPath(this, peer), eras), peer -> {});
+            feedReader = new FeedReader(context, reader, this::watchSource, eras);
             long maxAgeMillis = new ChangeTimeBudget(limitMillis).maxSourceViewAgeMillis();
             feed = new ViewFeed(store.loop(), () -> store.now, () -> store.now, maxAgeMillis, feedReader::followsStore);
             view = new PlatformView(
                     context, feedReader, feed, new MembershipStatus(() -> store.now, () -> store.now), this::apply);
             view.setViewListener(freshness::recordView);
+            eras.subscribe((earlier, current) -> {
+                reader.storeRestored();
+                view.storeRestored();
+            });
             store.loop().schedule(view::start, random.nextInt(1_000), TimeUnit.MILLISECONDS);
             view.setLiveInstanceCount(fleet);
             scheduleRenewal(random.nextInt((int) RENEWAL_INTERVAL_MILLIS));
@@ -253,7 +271,10 @@
         private void scheduleRenewal(long millis) {
             store.loop()
                     .schedule(
-                            () -> client.renewLease(1, result -> {
+                            () -> checkedClient.renewLease(1, result -> {
+                                if (stopped) {
+                                    return;
+                                }
                                 view.recordCallResult(result.status());
                                 boolean renewed = result.status() == DurableStore.Status.DONE;
                                 scheduleRenewal(renewed ? RENEWAL_INTERVAL_MILLIS : RENEWAL_RETRY_MILLIS);
@@ -262,19 +283,34 @@
                             TimeUnit.MILLISECONDS);
         }
 
+        private void stop() {
+            stopped = true;
+            silent = true;
+            view.stop();
+            feed.suspend();
+        }
+
         /** Reports a refused call of this instance, for example because of a rate limit of the store. */
         void reportRefusedCall() {
             view.recordCallResult(DurableStore.Status.REFUSED);
         }
 
         private void apply(PlatformEvent event) {
+            observer.accept(event);
             if (event instanceof PlatformEvent.ConfigWritten written) {
                 config = written.config();
                 freshness.recordStoredConfiguration(true);
             } else if (event instanceof PlatformEvent.BackendListed listed) {
                 drainingByEntry.put(listed.entry(), listed.backend().draining());
+                startByEntry.put(listed.entry(), listed.backend().startedAtMillis());
             } else if (event instanceof PlatformEvent.BackendRemoved removed) {
                 drainingByEntry.remove(removed.entry());
+            } else if (event instanceof PlatformEvent.RouterRecordChanged changed) {
+                if (changed.storeRecord().value() == null) {
+                    members.remove(changed.storeRecord().key());
+                } else {
+                    members.add(changed.storeRecord().key());
+                }
             } else if (event instanceof PlatformEvent.DomainTakenOut domain) {
                 if (domain.out()) {
                     takenOut.add(domain.domain());
@@ -290,7 +326,7 @@
     }
 
     /** The path to the store from one instance through the relay of another. */
-    private final class RelayPath implements StoreReader {
+    private final class RelayPath implements DurableStore {
         private final Instance from;
         private final Instance to;
 
@@ -317,6 +353,26 @@
                     done -> to.client.watch(prefix, afterRevision, waitMillis, StoreRelay.CALL_TIMEOUT_MILLIS, done));
         }
 
+        @Override
+        public void commit(Transaction transaction, Consumer<Result> whenDone) {
+            throw new UnsupportedOperationException("writes are not relayed");
+        }
+
+        @Override
+        public void createLease(long termMillis, Consumer<Result> whenDone) {
+            throw new UnsupportedOperationException("writes are not relayed");
+        }
+
+        @Override
+        public void renewLease(long lease, Consumer<Result> whenDone) {
+            throw new UnsupportedOperationException("writes are not relayed");
+        }
+
+        @Override
+        public void endLease(long lease, Consumer<Result> whenDone) {
+            throw new UnsupportedOperationException("writes are not relayed");
+        }
+
         private void call(
                 long timeoutMillis,
                 Consumer<DurableStore.Result> whenDone,
@@ -366,97 +422,4 @@
                 .platformLimits(new GatewaySettings.PlatformLimits(1_000, 6_000, 0.2, 60, 10_000, 10_000, limitMillis))
                 .build();
     }
-
-    /** Translates keys and values of the simulated store. */
-    private static final class Adapter implements PlatformAdapter {
-
-        @Override
-        public boolean isConfiguration(String key) {
-            return false;
-        }
-
-        @Override
-        public HeaderNames headers() {
-            throw new UnsupportedOperationException("the simulation sends no requests");
-        }
-
-        @Override
-        public PlatformEvent decode(DurableStore.StoreRecord storeRecord) {
-            String key = storeRecord.key();
-            String name = key.substring(key.indexOf('/') + 1);
-            if (key.equals("config")) {
-                return new PlatformEvent.ConfigWritten(config(Integer.parseInt(text(storeRecord))));
-            } else if (key.startsWith("out/")) {
-                return new PlatformEvent.DomainTakenOut(new FailureDomainId(name), storeRecord.value() != null);
-            } else if (key.equals("table")) {
-                return new PlatformEvent.Ignored(key);
-            } else if (storeRecord.value() == null) {
-                return new PlatformEvent.BackendRemoved(key);
-            }
-            Backend backend = new Backend(
-                    new BackendServerId(name),
-                    1,
-                    SERVICE,
-                    "10.0.0.1",
-                    80,
-                    new FailureDomainId("a"),
-                    3,
-                    text(storeRecord).equals("draining"),
-                    0);
-            return new PlatformEvent.BackendListed(key, backend);
-        }
-
-        private static String text(DurableStore.StoreRecord storeRecord) {
-            return new String(storeRecord.value(), StandardCharsets.UTF_8);
-        }
-
-        private static RoutingConfig config(int version) {
-            List<HostRoute> routes = List.of(new HostRoute(
-                    "r-" + version,
-                    HOST,
-                    "/v" + version + "/",
-                    RequestKind.IDEMPOTENT,
-                    1_000,
-                    400,
-                    2,
-                    1,
-                    List.of(new WeightedService(SERVICE, 1))));
-            return new RoutingConfig(version, routes, List.of(), CallerLimits.DEFAULT);
-        }
-
-        @Override
-        public boolean isStoreRead(String uri) {
-            throw new UnsupportedOperationException("the simulation does not relay calls over HTTP");
-        }
-
-        @Override
-        public String watchedPrefix() {
-            return "";
-        }
-
-        @Override
-        public String routerRecordKey(String name) {
-            return name;
-        }
-
-        @Override
-        public String routerRecordName(String key) {
-            return key;
-        }
-
-        @Override
-        public LoadReport decodeLoadReport(HttpHeaders headers) {
-            return null;
-        }
-
-        @Override
-        public OwnershipCall encodeGrantCall(KeySegment segment, long holdMillis, String handover) {
-            throw new UnsupportedOperationException("the simulation sends no ownership calls");
-        }
-
-        @Override
-        public OwnershipCall encodeReleaseCall(KeySegment segment) {
-            throw new UnsupportedOperationException("the simulation sends no ownership calls");
-        }
-    }
 }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/StaleViewTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/StaleViewTest.java
@@ -58,9 +58,11 @@
         PlatformAdapter adapter = (PlatformAdapter) Proxy.newProxyInstance(
                 getClass().getClassLoader(),
                 new Class<?>[] {PlatformAdapter.class},
-                (proxy, method, arguments) -> method.getName().equals("decode")
-                        ? new PlatformEvent.Ignored(((DurableStore.StoreRecord) arguments[0]).key())
-                        : "");
+                (proxy, method, arguments) -> switch (method.getName()) {
+                    case "decode" -> new PlatformEvent.Ignored(((DurableStore.StoreRecord) arguments[0]).key());
+                    case "isConfiguration" -> false;
+                    default -> "";
+                });
         GatewayContext context = new GatewayContext(
                 SimulatedViews.settings(new InstanceId("front"), 2_000),
                 time.loop(),
