Renew the lease of an instance's listing as soon as the store came back

After a return of the store, the listing of an instance could be gone for 2.5 s until its next renewal, and a removal in the new era was ignored, because its revision was lower than that of the listing before.

Change: MemberListings renews its lease when it learns of a new era, and again after 500 ms, by when the view shows whether the listing is there. The revision of the listing is forgotten with its era.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -272,6 +272,7 @@
         log.warn("store-restored", "era", current.number(), "earlier", earlier.number());
         keyCoordinatorRole.storeRestored();
         reader.storeRestored();
+        memberListings.storeRestored();
         view.storeRestored();
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
@@ -31,6 +31,8 @@
 
     private static final long RENEWAL_INTERVAL_MILLIS = 2_500;
     private static final long RETRY_DELAY_MILLIS = 500;
+    /** Time after a return of the store by which the view shows whether the listing is there. */
+    private static final long CHECK_DELAY_MILLIS = 500;
     /** Time without a renewal after which the sequence of renewals has ended; the lease has then ended too. */
     private static final long MAX_STALL_MILLIS = 30_000;
 
@@ -53,8 +55,8 @@
     private long listingLease;
     private long termMillis;
     /**
-     * Revision of the newest listing that this instance wrote. A removal with a lower revision concerns an older
-     * listing.
+     * Revision of the newest listing that this instance wrote, or 0 if it wrote none in the present era of the store. A
+     * removal with a lower revision concerns an older listing.
      */
     private long listedRevision;
     /** Number of the newest attempt to write the listing; callbacks of earlier attempts are ignored. */
@@ -142,7 +144,24 @@
         });
     }
 
+    /**
+     * Renews the lease at once, because the store came back from an earlier copy of itself, which may lack the lease or
+     * the listing.
+     */
+    void storeRestored() {
+        listedRevision = 0;
+        if (listingLease != 0) {
+            newestAttempt++;
+            renew(CHECK_DELAY_MILLIS);
+        }
+    }
+
     private void renew() {
+        renew(RENEWAL_INTERVAL_MILLIS);
+    }
+
+    /** Renews the lease, and again after the interval. */
+    private void renew(long intervalMillis) {
         if (stopped) {
             return;
         }
@@ -161,7 +180,7 @@
                         return;
                     }
                     membershipStatus.recordRenewal(sentAt, termMillis);
-                    scheduleForAttempt(attempt, this::renew, RENEWAL_INTERVAL_MILLIS);
+                    scheduleForAttempt(attempt, this::renew, intervalMillis);
                 }
                 case CONFLICT -> {
                     log.warn("member-lease-ended", "lease", listingLease);
