--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
@@ -31,6 +31,8 @@
 
     private static final long RENEWAL_INTERVAL_MILLIS = 2_500;
     private static final long RETRY_DELAY_MILLIS = 500;
+    /** Time after a return of the store by which the view shows whether the listing is there. */
+    private static final long CHECK_DELAY_MILLIS = 500;
     /** Time without a renewal after which the sequence of renewals has ended; the lease has then ended too. */
     private static final long MAX_STALL_MILLIS = 30_000;
 
@@ -53,8 +55,8 @@
     private long listingLease;
     private long termMillis;
     /**
-     * Revision of the newest listing that this instance wrote. A removal with a lower revision concerns an older
-     * listing.
+     * Revision of the newest listing that this instance wrote, or 0 if it wrote none in the present era of the store. A
+     * removal with a lower revision concerns an older listing.
      */
     private long listedRevision;
     /** Number of the newest attempt to write the listing; callbacks of earlier attempts are ignored. */
@@ -77,6 +79,16 @@
         this.listener = listener;
     }
 
+    /** Returns whether the name of a record of this router is one of a listing. */
+    static boolean isListing(String name) {
+        return name.startsWith(LISTING_PREFIX);
+    }
+
+    /** Returns the store key of the listing of an instance. */
+    static String listingKey(PlatformAdapter adapter, InstanceId instance) {
+        return adapter.routerRecordKey(LISTING_PREFIX + instance);
+    }
+
     /** Keeps the listing of this instance in the store. */
     void start() {
         context.every(RENEWAL_INTERVAL_MILLIS, "listing-stall", () -> {
@@ -113,7 +125,7 @@
                             settings.domain().value(),
                             Double.toString(settings.instanceLimits().linkMegabitsPerSecond()))
                     .getBytes(StandardCharsets.UTF_8);
-            String key = adapter.routerRecordKey(LISTING_PREFIX + settings.instance());
+            String key = listingKey(adapter, settings.instance());
             DurableStore.Transaction transaction = new DurableStore.Transaction(
                     List.of(), List.of(new DurableStore.StoreRecord(key, value, 0)), listingLease);
             store.commit(transaction, writeResult -> {
@@ -132,7 +144,24 @@
         });
     }
 
+    /**
+     * Renews the lease at once, because the store came back from an earlier copy of itself, which may lack the lease or
+     * the listing.
+     */
+    void storeRestored() {
+        listedRevision = 0;
+        if (listingLease != 0) {
+            newestAttempt++;
+            renew(CHECK_DELAY_MILLIS);
+        }
+    }
+
     private void renew() {
+        renew(RENEWAL_INTERVAL_MILLIS);
+    }
+
+    /** Renews the lease, and again after the interval. */
+    private void renew(long intervalMillis) {
         if (stopped) {
             return;
         }
@@ -151,7 +180,7 @@
                         return;
                     }
                     membershipStatus.recordRenewal(sentAt, termMillis);
-                    scheduleForAttempt(attempt, this::renew, RENEWAL_INTERVAL_MILLIS);
+                    scheduleForAttempt(attempt, this::renew, intervalMillis);
                 }
                 case CONFLICT -> {
                     log.warn("member-lease-ended", "lease", listingLease);
@@ -182,7 +211,7 @@
      * @return whether the record is a listing of an instance
      */
     boolean applyRecord(String name, byte[] value, long revision) {
-        if (!name.startsWith(LISTING_PREFIX)) {
+        if (!isListing(name)) {
             return false;
         }
         try {
