Write the coordinator record back after the store lost it

Cause: a member compares epochs and expects the index that it knew. After the store came back from an earlier copy, the older record was ignored and every compare-and-swap conflicted, so coordinator, successor and witness could never change again. Two different records of one epoch stayed side by side.

Change: a read that shows no record or one of a lower epoch makes the member write the newest record that it knows back, unchanged, against the index that it read. A member swaps only after a read of its own that showed the epoch it knows. A read of the copy confirms no role. If an epoch was given out twice, its coordinator continues under a higher one.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/ownership/CoordinatorLease.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/ownership/CoordinatorLease.java
@@ -17,7 +17,9 @@
  * successor tries to take over only after its last promise and the clock allowance have expired, and with the
  * consent of the witness that the record names. A witness that consented for an epoch gives no further
  * promise for that epoch. A swap that the store applies late is harmless, because an instance acts under a
- * record only after reading it. Not thread-safe; confined to its member.
+ * record only after reading it. If the store comes back from an earlier copy, the newest record that a member
+ * knows is written back unchanged, and an epoch that was given out twice is replaced by a higher one. Not
+ * thread-safe; confined to its member.
  */
 final class CoordinatorLease {
 
@@ -63,6 +65,13 @@
 
     private long interimRightsUntil;
     private boolean recordRead;
+    /** The record that the last read returned. */
+    private Optional<CoordinatorRecord> stored = Optional.empty();
+    /** Whether the last read showed that the store has lost the newest record. */
+    private boolean recordLost;
+    /** The epoch for which this instance has seen two different records. */
+    private long repeatedEpoch;
+
     private boolean readInFlight;
     /** Whether the read in flight only looks for a vacant record. */
     private boolean uncoordinatedRead;
@@ -167,11 +176,13 @@
         Optional<CoordinatorRecord> previous = state.record;
         if (previous.isPresent() && record.epoch() <= previous.get().epoch()) {
             if (record.epoch() == previous.get().epoch()
-                    && record.modifyIndex() > previous.get().modifyIndex()) {
-                state.record = Optional.of(record);
+                    && !record.mark().equals(previous.get().mark())) {
+                repeatedEpoch = record.epoch();
             }
             return Optional.empty();
         }
+        readDue |= recordLost;
+        recordLost = false;
         previous.ifPresent(old -> recordReplacedSuccessor(old, record));
         boolean wasCoordinator = isCoordinator();
         // A restarted coordinator receives the newest table from its successor and has a copy from then on.
@@ -359,10 +370,8 @@
      * Processes the result of a read. Returns how this instance became coordinator under the record, if it
      * did.
      */
-    Optional<TermStart> onRead(Optional<CoordinatorRecord> stored) {
-        if (readInFlight) {
-            lastConfirmedAt = Math.max(lastConfirmedAt, readSentAt);
-        }
+    Optional<TermStart> onRead(Optional<CoordinatorRecord> found) {
+        stored = found;
         // A member without a role adopts a record that names a coordinator only from that coordinator. Until
         // the coordinator sends the record, it may still use the unlimited rights of the successor that it
         // was before.
@@ -373,7 +382,12 @@
             firstReadEpoch = stored.map(CoordinatorRecord::epoch).orElse(0L);
         }
         Optional<TermStart> start = usable.flatMap(this::adopt);
-        if (readInFlight) {
+        recordLost = state.record.isPresent()
+                && stored.filter(record -> record.epoch() >= state.record.get().epoch())
+                        .isEmpty();
+        // An earlier copy of the store does not show who replaced this instance.
+        if (readInFlight && !recordLost) {
+            lastConfirmedAt = Math.max(lastConfirmedAt, readSentAt);
             roleConfirmedUntil = Math.max(roleConfirmedUntil, readSentAt + Timing.PERMIT_MILLIS);
         }
         readInFlight = false;
@@ -415,19 +429,25 @@
         if (swapInFlight || readInFlight || now < nextAttemptAt) {
             return Optional.empty();
         }
+        if (recordLost && !readDue) {
+            changeBeforeSwap = unconfirmedChange;
+            swapStored(now, state.record.get());
+            return Optional.empty();
+        }
         Optional<CoordinatorRecord> next = readDue ? Optional.empty() : nextRecord(now);
-        if (next.isPresent()) {
+        if (next.isPresent() && !isStoredCurrent() && state.rules.takesOverThroughStore()) {
+            readDue = true;
+        } else if (next.isPresent()) {
             if (!state.rules.takesOverThroughStore() && isSuccessor()) {
                 ownMarks.add(next.get().mark());
                 return next;
             }
             ownMarks.add(next.get().mark());
             trackUnconfirmedChange(now, next.get());
-            swapInFlight = true;
-            nextAttemptAt = now + Timing.STORE_RETRY_MILLIS;
-            state.effects.swapCoordinator(
-                    next.get(), state.record.map(CoordinatorRecord::modifyIndex).orElse(0L));
-        } else if (readDue || mayBeReplaced(now) || isUncoordinated(now)) {
+            swapStored(now, next.get());
+            return Optional.empty();
+        }
+        if (readDue || mayBeReplaced(now) || isUncoordinated(now)) {
             readInFlight = true;
             readSentAt = now;
             uncoordinatedRead = !readDue && !mayBeReplaced(now);
@@ -437,6 +457,21 @@
         return Optional.empty();
     }
 
+    private void swapStored(long now, CoordinatorRecord next) {
+        swapInFlight = true;
+        nextAttemptAt = now + Timing.STORE_RETRY_MILLIS;
+        state.effects.swapCoordinator(
+                next, stored.map(CoordinatorRecord::modifyIndex).orElse(0L));
+    }
+
+    /**
+     * Returns whether the last read showed the record that this instance knows, or another one of its epoch.
+     * The index of a record from another instance may have been given out again since.
+     */
+    private boolean isStoredCurrent() {
+        return stored.map(CoordinatorRecord::epoch).equals(state.record.map(CoordinatorRecord::epoch));
+    }
+
     /**
      * Records that a swap may reassign a role to an instance that has promised nothing for the current epoch.
      */
@@ -487,6 +522,11 @@
         if (current.coordinator().isEmpty()) {
             return state.leaving ? Optional.empty() : Optional.of(newRecord(now, state.self, epoch, state.newMark()));
         }
+        if (isCoordinator() && repeatedEpoch == current.epoch()) {
+            // Members with the other record of the epoch ignore this one.
+            return Optional.of(new CoordinatorRecord(
+                    current.coordinator(), current.successor(), current.witness(), epoch, state.newMark(), 0));
+        }
         if (isCoordinator()) {
             return nextAsCoordinator(now, current, epoch);
         }
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/ownership/DomainHarness.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/ownership/DomainHarness.java
@@ -30,6 +30,9 @@
     static final ServiceName CHECKED = new ServiceName("checked");
     static final ServiceName PLAIN = new ServiceName("plain");
 
+    /** The interval at which a coordinator reads the homes records. */
+    private static final long HOMES_READ_MILLIS = 5_000;
+
     final Random random;
     final SafetyRules rules;
     final List<String> log = new ArrayList<>();
@@ -49,11 +52,18 @@
      */
     boolean mayLoseTable;
 
+    /** Whether coordinators learn of changed homes at once; otherwise with their next periodic read. */
+    boolean homesWatched = true;
+
     double loss;
     int maxDelay = 3;
     Bundle bundle;
     private long nextSequence;
     private long storeIndex;
+    private StoreCopy storeCopy = new StoreCopy(Map.of(), 0);
+
+    /** The records of the store at one moment, and its index then. */
+    private record StoreCopy(Map<Object, Object> records, long index) {}
 
     private record Event(long at, long sequence, Runnable action) {}
 
@@ -92,6 +102,7 @@
         peers.forEach(peer -> processes.get(peer).member.onPeers(now, peers));
         process.member.onBundle(now, bundle);
         process.tick();
+        process.readHomesPeriodically();
         logEvent("start " + id);
     }
 
@@ -132,6 +143,25 @@
         partitions.clear();
     }
 
+    /** Keeps a copy of the store, from which {@link #restoreStore} restores it. */
+    void copyStore() {
+        storeCopy = new StoreCopy(Map.copyOf(store), storeIndex);
+        logEvent("store copied");
+    }
+
+    /**
+     * Replaces the content of the store by the last copy, so that it gives out indexes again. Watches fail
+     * and read their records again.
+     */
+    void restoreStore() {
+        store.clear();
+        store.putAll(storeCopy.records());
+        storeIndex = storeCopy.index();
+        logEvent("store restored: "
+                + store.values().stream().map(HarnessValues::describe).sorted().toList());
+        processes.values().forEach(MemberProcess::watchAgain);
+    }
+
     void freeze(BackendServerId id, boolean frozen) {
         logEvent((frozen ? "freeze " : "unfreeze ") + id);
         servers.get(id).frozen = frozen;
@@ -261,6 +291,15 @@
             });
         }
 
+        private void readHomesPeriodically() {
+            runLater(HOMES_READ_MILLIS, () -> {
+                if (!homesWatched && member.isCoordinator()) {
+                    bundle.services().keySet().forEach(this::readHomes);
+                }
+                readHomesPeriodically();
+            });
+        }
+
         /** Runs an action of this process after a delay, or at the end of its pause if that is later. */
         private void runLater(long delay, Runnable action) {
             schedule(delay, () -> {
@@ -315,6 +354,14 @@
                     () -> member.onCoordinatorUnreachable(now));
         }
 
+        private void watchAgain() {
+            runLater(100 + random.nextInt(500), () -> {
+                if (storeUp && connected(id, "store") && (member.isCoordinator() || member.isSuccessor())) {
+                    readCoordinator();
+                }
+            });
+        }
+
         @Override
         public void readHomes(ServiceName service) {
             read(
@@ -386,6 +433,9 @@
             if (!connected(process.id, "store") || !process.member.isCoordinator() && !process.member.isSuccessor()) {
                 continue;
             }
+            if (value instanceof HomesRecord homes && !homesWatched) {
+                continue;
+            }
             if (value instanceof HomesRecord homes) {
                 process.runLater(delay(), () -> process.member.onHomesRead(now, homes.service(), Optional.of(homes)));
             } else if (key.equals(process.domain)) {
