Write the homes records back after the store lost them

Cause: a coordinator ignores a homes record of a lower version, but never writes its own again, so the store kept the homes of the copy. The failure domain that had given ranges away took them from the copy after its restart, while the failure domain that had received them still served them. Transfers conflicted forever, and a record of the same version replaced the known one.

Change: a read that shows no record, an older one or another one of the same version makes the coordinator write the newest record that it knows against the index that it read, with a higher version in the last case. Swaps use the index of the last read. DomainMember.onStoreReconnected starts reads of all homes records; its caller follows.

All pass now. jackdawslip-core: 456 tests, no failure.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/ownership/DomainMember.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/ownership/DomainMember.java
@@ -176,6 +176,15 @@
         sendDueHeartbeats(now);
     }
 
+    /**
+     * Reads the homes records again, because the store was unreachable and may have come back from an earlier
+     * copy.
+     */
+    public void onStoreReconnected(long now) {
+        homes.onStoreReconnected();
+        sendDueHeartbeats(now);
+    }
+
     /** Processes the result of a compare-and-swap of the coordinator record. */
     public void onCoordinatorSwap(long now, SwapResult result) {
         lease.onSwap(result);
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/ownership/HomeAssigner.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/ownership/HomeAssigner.java
@@ -19,7 +19,8 @@
  * <p>Invariants: a range is transferred to another failure domain only after it was released, and is not
  * assigned again here before a read shows that the swap can no longer be applied. A new coordinator first
  * rewrites the homes records of services with ranges that its predecessor released, so that a late swap of
- * the predecessor fails. Not thread-safe; confined to its member.
+ * the predecessor fails. If the store comes back from an earlier copy, the newest record that is known is written
+ * back. Not thread-safe; confined to its member.
  */
 final class HomeAssigner {
 
@@ -37,6 +38,13 @@
     private static final class ServiceHomes {
         private HomesRecord record;
         private boolean recordAbsent;
+        /** The index of the record that the last read returned; 0 if there was none. */
+        private long storedIndex;
+        /** Whether the last read showed that the store has lost the newest record. */
+        private boolean recordLost;
+        /** Whether the store has another record of the same version. */
+        private boolean repeatedVersion;
+
         private boolean readDue = true;
         private boolean callInFlight;
         /** Whether the record was read after the last ranges were selected for a transfer. */
@@ -106,7 +114,16 @@
         entry.readDue = false;
         entry.readSinceTransfer = true;
         entry.recordAbsent = stored.isEmpty() && entry.record == null;
-        if (stored.isEmpty() || entry.record != null && stored.get().version() < entry.record.version()) {
+        entry.storedIndex = stored.map(HomesRecord::modifyIndex).orElse(0L);
+        entry.recordLost = entry.record != null
+                && stored.filter(found -> found.version() > entry.record.version()
+                                || found.version() == entry.record.version()
+                                        && found.mark().equals(entry.record.mark()))
+                        .isEmpty();
+        entry.repeatedVersion = entry.recordLost
+                && stored.filter(found -> found.version() == entry.record.version())
+                        .isPresent();
+        if (stored.isEmpty() || entry.recordLost) {
             return;
         }
         entry.record = stored.get();
@@ -120,6 +137,11 @@
         }
     }
 
+    /** Reads all records again, because the store may have come back from an earlier copy. */
+    void onStoreReconnected() {
+        homesByService.values().forEach(entry -> entry.readDue = true);
+    }
+
     /** Processes a read without a response of the store. */
     void onReadFailed(ServiceName service) {
         serviceHomes(service).callInFlight = false;
@@ -148,6 +170,9 @@
             if (entry.readDue) {
                 markCallStarted(now, entry);
                 state.effects.readHomes(service);
+            } else if (entry.recordLost) {
+                markCallStarted(now, entry);
+                writeBack(entry);
             } else if (entry.recordAbsent && state.inService()) {
                 List<HomeAssignment> homes = HomePlanner.initialHomes(bundle, service);
                 if (!homes.isEmpty()) {
@@ -215,7 +240,19 @@
     private void writeRecord(ServiceHomes entry, List<HomeAssignment> homes, String mark) {
         HomesRecord record = entry.record;
         state.effects.swapHomes(
-                new HomesRecord(record.service(), record.version() + 1, homes, mark, 0), record.modifyIndex());
+                new HomesRecord(record.service(), record.version() + 1, homes, mark, 0), entry.storedIndex);
+    }
+
+    /**
+     * Writes the newest record that is known again after the store came back from an earlier copy, with a
+     * higher version if its version was given out twice.
+     */
+    private void writeBack(ServiceHomes entry) {
+        if (entry.repeatedVersion) {
+            writeRecord(entry, entry.record.homes(), state.newMark());
+        } else {
+            state.effects.swapHomes(entry.record, entry.storedIndex);
+        }
     }
 
     private static void markCallStarted(long now, ServiceHomes entry) {
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/ownership/DomainHarness.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/ownership/DomainHarness.java
@@ -358,6 +358,7 @@
             runLater(100 + random.nextInt(500), () -> {
                 if (storeUp && connected(id, "store") && (member.isCoordinator() || member.isSuccessor())) {
                     readCoordinator();
+                    member.onStoreReconnected(now);
                 }
             });
         }
