Order owner tables by their next token

What callers saw: after the store came back from an earlier copy, requests for keys went to the owners of the copy, and to nobody else until the revisions were as high as before.

Cause: OwnerView kept the table with the highest revision, and revisions go back with the store.

Change: the table with the highest next token is kept, whatever its revision. Each save raises the next token; a table with the same one replaces the earlier one, because it may have been written again without a segment. The event owner-table-loaded states the next token that was known.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/OwnerView.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/OwnerView.java
@@ -8,7 +8,8 @@
  * announcements since.
  *
  * <p>Announcements may be lost or delayed, in which case a server that does not own the key rejects the
- * request. Invariant: the revision of the table never decreases. Not thread-safe.
+ * request. Invariant: the next token of the table never decreases, so the table of a store that came back from
+ * an earlier copy changes nothing. Not thread-safe.
  */
 public final class OwnerView {
 
@@ -23,20 +24,18 @@
     private record Announcement(KeySegment segment, boolean granted, long expiresAt) {}
 
     private final List<Announcement> announcements = new ArrayList<>();
-    private KeyTable updateTable = KeyTable.empty();
-    private long revision;
+    private KeyTable table = KeyTable.empty();
 
-    /** Replaces the durable table if the given revision is newer. */
-    public void updateTable(KeyTable newest, long newRevision) {
-        if (newRevision > revision) {
-            updateTable = newest;
-            revision = newRevision;
+    /** Replaces the durable table unless the next token of the given one is lower. */
+    public void updateTable(KeyTable newest) {
+        if (newest.nextToken().compareTo(table.nextToken()) >= 0) {
+            table = newest;
         }
     }
 
-    /** Returns the revision of the durable table. */
-    public long revision() {
-        return revision;
+    /** Returns the durable table. */
+    public KeyTable table() {
+        return table;
     }
 
     /** Adds a move announcement, which replaces those of the same slots with a lower or equal token. */
@@ -55,7 +54,7 @@
     public KeySegment find(int slot, long now) {
         Announcement announcement = overridingAnnouncement(slot, now);
         if (announcement == null) {
-            return updateTable.find(slot);
+            return table.find(slot);
         }
         return announcement.granted() ? announcement.segment() : null;
     }
@@ -68,7 +67,7 @@
 
     /** Returns the announcement that overrides the table for the slot, or null. */
     private Announcement overridingAnnouncement(int slot, long now) {
-        KeySegment newest = updateTable.find(slot);
+        KeySegment newest = table.find(slot);
         Announcement overriding = null;
         for (Announcement announcement : announcements) {
             KeySegment segment = announcement.segment();
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/OwnerViewTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/OwnerViewTest.java
@@ -17,7 +17,7 @@
     private final OwnerView view = new OwnerView();
 
     OwnerViewTest() {
-        view.updateTable(new KeyTable(List.of(segment("s1", 0, 999, 5)), new FencingToken(6)), 10);
+        view.updateTable(new KeyTable(List.of(segment("s1", 0, 999, 5)), new FencingToken(6)));
     }
 
     private static KeySegment segment(String owner, int first, int last, long token) {
@@ -59,13 +59,22 @@
     @Test
     void newerTableOverridesOldAnnouncements() {
         view.addAnnouncement(segment("s2", 0, 999, 6), true, 0);
-        view.updateTable(new KeyTable(List.of(segment("s3", 0, 999, 7)), new FencingToken(8)), 11);
+        view.updateTable(new KeyTable(List.of(segment("s3", 0, 999, 7)), new FencingToken(8)));
         assertEquals("s3", view.find(150, 10).owner().value());
     }
 
     @Test
     void olderTableIsIgnored() {
-        view.updateTable(new KeyTable(List.of(segment("s9", 0, 999, 4)), new FencingToken(5)), 9);
+        view.updateTable(new KeyTable(List.of(segment("s9", 0, 999, 4)), new FencingToken(5)));
         assertEquals("s1", view.find(0, 0).owner().value());
+        assertEquals(6, view.table().nextToken().value());
+    }
+
+    /** Guards against owners that stay in use although the table was written again without them. */
+    @Test
+    void tableWithTheSameNextTokenReplacesTheEarlierOne() {
+        view.updateTable(new KeyTable(List.of(segment("s1", 0, 499, 5)), new FencingToken(6)));
+        assertNull(view.find(500, 0));
+        assertEquals("s1", view.find(499, 0).owner().value());
     }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -182,7 +182,7 @@
         }
         ServiceName service = new ServiceName(name.substring(TABLE_RECORD_PREFIX.length()));
         if (value != null) {
-            routing.ownerView(service).updateTable(KeyTableCodec.decode(value), revision);
+            routing.ownerView(service).updateTable(KeyTableCodec.decode(value));
             CoordinatedService coordinatedService = coordinatedServices.get(service);
             if (coordinatedService != null
                     && revision > coordinatedService.tableRevision
@@ -400,7 +400,7 @@
                             log.warn("owner-table-unreadable", "service", service, "problem", e.getMessage());
                             return;
                         }
-                        routing.ownerView(service).updateTable(table, storeRecord.revision());
+                        routing.ownerView(service).updateTable(table);
                     }
                 }
                 if (servicesWithUncertainTable.contains(service)) {
@@ -444,7 +444,7 @@
                     "revision",
                     tableRevision,
                     "known",
-                    routing.ownerView(service).revision());
+                    routing.ownerView(service).table().nextToken());
         }
 
         private void writeTable(KeyTable table, Consumer<DurableStore.Result> whenDone) {
@@ -633,7 +633,7 @@
                 }
                 if (result.status() == DurableStore.Status.DONE) {
                     tableRevision = result.revision();
-                    routing.ownerView(service).updateTable(table, tableRevision);
+                    routing.ownerView(service).updateTable(table);
                     log.info(
                             "owner-table-saved",
                             "service",
