Recover owners of keys after the store came back from a copy

What backend servers saw: after a return, the new holder of the role of key coordinator granted keys to the owners of the copy, with lower tokens, while later owners held them.

Cause: the owner table of the copy was taken for the current one.

Change: each owner table states the era in which it was written. TableRecovery decides how a holder of the role starts: with the table of the current era; with the exact table in its own memory, if it was the coordinator until the store came back once and its lease was valid then (RetainedTables); otherwise after all earlier grants have ended, with new tokens. KeyCoordinatorLease holds the role in the era of its claim only, replaces its own record of the copy, and ends or renews no lease of an earlier era. The events owner-table-restored and owner-table-not-used and the metric keys.services.waiting show what was decided.

Beyond the design: the wait counts from the claim as well, because a late write of an earlier era may replace a table; the token margin grows with the number of eras, because two returns from one copy would use the same tokens; the lease of a claim without a response is not ended, because its id may be given out again.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinator.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinator.java
@@ -10,6 +10,7 @@
 import org.jackdawslip.BackendServerId;
 import org.jackdawslip.FencingToken;
 import org.jackdawslip.internal.balance.Backend;
+import org.jackdawslip.internal.durable.StoreEra;
 
 /**
  * Assigns the key slots of one service to backend servers. Runs in the instance that holds the lease on this
@@ -119,6 +120,9 @@
 
     private final KeyTiming timing;
     private final KeyCoordinatorActions actions;
+    /** Era of the store in which all tables of this key coordinator are written. */
+    private final StoreEra era;
+
     private final TreeMap<Integer, SegmentState> states = new TreeMap<>();
     private final Map<BackendServerId, Backend> lastListed = new HashMap<>();
     private FencingToken nextToken;
@@ -134,6 +138,7 @@
     public KeyCoordinator(KeyTiming timing, KeyCoordinatorActions actions, KeyTable table, long now) {
         this.timing = timing;
         this.actions = actions;
+        this.era = table.era();
         this.nextToken = table.nextToken();
         this.lastJoinedAt = now;
         int nextSlot = 0;
@@ -365,15 +370,18 @@
                 .getKey();
     }
 
-    /** Returns the table of current owners, including those that are being written to the store. */
-    private KeyTable table() {
+    /**
+     * Returns the table of current owners, including those that are being written to the store. Slots that are not in
+     * the table are held by no server.
+     */
+    public KeyTable table() {
         List<KeySegment> segments = new ArrayList<>();
         for (SegmentState state : states.values()) {
             if (state.phase != Phase.FREE) {
                 segments.add(state.segment);
             }
         }
-        return new KeyTable(segments, nextToken);
+        return new KeyTable(segments, nextToken, era);
     }
 
     /** Completes {@link KeyCoordinatorActions#save}: the table is durable. */
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyTable.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 
 import org.jackdawslip.FencingToken;
+import org.jackdawslip.internal.durable.StoreEra;
 
 /**
  * The owners of all key slots of one service. Immutable and thread-safe.
@@ -16,13 +17,24 @@
 
     private final List<KeySegment> segments;
     private final FencingToken nextToken;
+    private final StoreEra era;
 
-    /** Creates a table from segments in any order. */
+    /** Creates a table from segments in any order, for a store that states no era. */
     public KeyTable(List<KeySegment> segments, FencingToken nextToken) {
+        this(segments, nextToken, StoreEra.NONE);
+    }
+
+    /**
+     * Creates a table from segments in any order.
+     *
+     * @param era the era of the store in which the table is written
+     */
+    public KeyTable(List<KeySegment> segments, FencingToken nextToken, StoreEra era) {
         List<KeySegment> sorted = new ArrayList<>(segments);
         sorted.sort(Comparator.comparingInt(KeySegment::first));
         this.segments = List.copyOf(sorted);
         this.nextToken = nextToken;
+        this.era = era;
     }
 
     /** Returns a table without owners. */
@@ -40,6 +52,11 @@
         return nextToken;
     }
 
+    /** Returns the era of the store in which the table was written, {@link StoreEra#NONE} if it states none. */
+    public StoreEra era() {
+        return era;
+    }
+
     /** Returns the segment that contains the slot, or null if the slot has no owner. */
     public KeySegment find(int slot) {
         int low = 0;
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/Gateway.java
@@ -139,7 +139,7 @@
         InternalHttpClient ownershipClient =
                 new InternalHttpClient(group, clock, CONNECTIONS_PER_ADDRESS, MAX_OWNERSHIP_RESPONSE_BYTES);
         keyCoordinatorRole = new KeyCoordinatorRole(
-                context, routing, directory, view, guard, ownershipClient, random, this::announce);
+                context, routing, directory, view, guard, eras, ownershipClient, random, this::announce);
         peers = new PeerExchange(context, directory, new PeerMessageReceiver());
         quotas = new QuotaExchange(
                 context,
@@ -256,6 +256,7 @@
         metrics.registerGauge("store.era", () -> eras.current().number());
         metrics.registerGauge("store.restored", () -> restoredCount);
         metrics.registerGauge("store.responses.rejected", eras::rejectedResponses);
+        metrics.registerGauge("keys.services.waiting", keyCoordinatorRole::waitingServices);
         metrics.registerGauge("view.stale.responses", view::staleResponses);
         metrics.registerGauge("view.older.records", view::olderRecords);
         metrics.registerGauge("store.direct", () -> reader.direct() ? 1 : 0);
@@ -270,7 +271,7 @@
     private void storeRestored(StoreEra earlier, StoreEra current) {
         restoredCount++;
         log.warn("store-restored", "era", current.number(), "earlier", earlier.number());
-        keyCoordinatorRole.storeRestored();
+        keyCoordinatorRole.storeRestored(earlier);
         reader.storeRestored();
         view.storeRestored();
     }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -1,23 +1,22 @@
 package org.jackdawslip.internal.gateway;
 
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
-import io.netty.channel.EventLoop;
 import org.jackdawslip.BackendServerId;
 import org.jackdawslip.InstanceId;
 import org.jackdawslip.JackdawslipException;
 import org.jackdawslip.ServiceName;
 import org.jackdawslip.internal.balance.Backend;
 import org.jackdawslip.internal.balance.BackendTracker;
+import org.jackdawslip.internal.durable.StoreEra;
+import org.jackdawslip.internal.durable.StoreEraTracker;
 import org.jackdawslip.internal.keyspace.GrantResult;
 import org.jackdawslip.internal.keyspace.HoldEnd;
 import org.jackdawslip.internal.keyspace.KeyCoordinator;
@@ -31,45 +30,32 @@
 import org.jackdawslip.internal.keyspace.KeyTiming;
 import org.jackdawslip.internal.keyspace.KnownServers;
 import org.jackdawslip.internal.keyspace.OwnerCandidates;
+import org.jackdawslip.internal.keyspace.RetainedTables;
+import org.jackdawslip.internal.keyspace.TableRecovery;
 import org.jackdawslip.internal.logging.EventLog;
-import org.jackdawslip.internal.membership.InstanceOrder;
 import org.jackdawslip.internal.time.LeaseGuard;
 import org.jackdawslip.internal.time.MonotonicClock;
 import org.jackdawslip.internal.traffic.ServiceConfig;
 
 /**
- * Competes for the role of key coordinator and, while this instance holds the role, carries out the decisions
- * of the key coordinator of each service.
+ * Carries out the decisions of the key coordinator of each service while this instance holds the role
+ * ({@link KeyCoordinatorLease}).
  *
- * <p>The role is a record in the store that is bound to a lease. Invariants: ownership calls are sent only
- * while the lease is certainly valid; an owner table is written only under the condition that the role record
- * and the previous table are unchanged; a table read from the store is used only if no earlier write of this
- * instance can still replace that table. Confined to the event loop.
+ * <p>Invariants: ownership calls are sent only while the lease of the role is certainly valid; an owner table is
+ * written only under the condition that the role record and the previous table are unchanged; a table read from the
+ * store is used only if no earlier write of this instance can still replace that table, and as {@link TableRecovery}
+ * decides; revisions of the role and of tables are kept only while the role is held, which is in one era. Confined to
+ * the event loop.
  */
 final class KeyCoordinatorRole {
 
-    private static final String ROLE_RECORD = "custodian";
     private static final String TABLE_RECORD_PREFIX = "keys/";
-    /**
-     * Term of the lease of the role. After a failure of the holder a successor takes over within this time.
-     */
-    private static final long ROLE_TERM_MILLIS = 2_500;
-    /** Two renewals in a row may fail before the lease of the role expires. */
-    private static final long ROLE_RENEWAL_INTERVAL_MILLIS = 700;
     /** Interval between two checks of all key segments. */
     private static final long TICK_INTERVAL_MILLIS = 40;
     /** Interval between two rounds of key moves because of load. */
     private static final long REBALANCE_INTERVAL_MILLIS = 700;
     /** Requests per possible owner that must have been counted before keys are moved because of load. */
     private static final double MIN_REQUESTS_PER_OWNER = 2;
-    /** Limit of the random part of the delay before an attempt to claim a free role. */
-    private static final int MAX_CLAIM_DELAY_MILLIS = 250;
-    /** Delay for each instance whose turn to claim the role is earlier. */
-    private static final long CLAIM_RANK_DELAY_MILLIS = 300;
-    /** Instances after this rank do not wait longer, in case those before it do not run. */
-    private static final int MAX_CLAIM_RANK = 4;
-    /** Delay after a failed attempt to claim the role. */
-    private static final long CLAIM_RETRY_DELAY_MILLIS = 700;
     /**
      * Term of grants unless the platform's limit is lower; longer than a takeover of the role and than short
      * outages of the store.
@@ -79,43 +65,40 @@
     private static final long GRANT_RENEWAL_INTERVAL_MILLIS = 2_800;
     /** Timeout for each page when an owner table is read. */
     private static final long TABLE_PAGE_TIMEOUT_MILLIS = 1_000;
-    /** Delay before an ownership call or a renewal of the role without a response is repeated. */
+    /** Delay before an ownership call without a response, or the read of a table, is repeated. */
     private static final long RETRY_DELAY_MILLIS = 300;
 
     private static final int STATUS_OK = 200;
     private static final int STATUS_CONFLICT = 409;
 
     private final GatewayContext context;
-    private final InstanceId self;
     private final GatewaySettings.PlatformLimits platformLimits;
     private final DurableStore store;
     private final PlatformAdapter adapter;
-    private final EventLoop loop;
     private final MonotonicClock clock;
     private final EventLog log;
     private final RoutingState routing;
     private final BackendDirectory directory;
     private final PlatformView view;
-    private final LeaseGuard leaseGuard;
+    private final StoreEraTracker eras;
+    private final KeyCoordinatorLease lease;
     private final OwnershipCallQueues ownershipCalls;
-    private final Random random;
     private final Consumer<KeyMoveAnnouncement> moveAnnouncer;
     private final Map<ServiceName, KeyLoads> keyLoads = new HashMap<>();
     private final Map<ServiceName, CoordinatedService> coordinatedServices = new HashMap<>();
     /** Services whose table may still be replaced by a write of this instance that had no response. */
     private final Set<ServiceName> servicesWithUncertainTable = new HashSet<>();
 
-    /** The live instances, which may all claim the role. */
-    private List<InstanceOrder.Candidate> candidates = List.of();
-
-    private InstanceId roleHolder;
-    private long roleLease;
-    private long roleRevision;
-    private boolean claimPending;
-    private boolean roleHeld;
-    private boolean stopped;
-    private long nextRenewalAt;
-    private boolean renewalPending;
+    /** Tables that this instance had in memory as the key coordinator when the store came back from a copy. */
+    private final RetainedTables retainedTables = new RetainedTables();
+    /** When this instance last stopped to coordinate the keys of a service while it held the role. */
+    private final Map<ServiceName, Long> coordinatedUntil = new HashMap<>();
+    /** When this process learned of the present era of the store, or started. */
+    private long eraLearnedAt;
+    /** Whether this process saw the store come back from an earlier copy. */
+    private boolean returnSeen;
+
+    private long roleTakenAt;
     private long nextRebalanceAt;
 
     KeyCoordinatorRole(
@@ -124,24 +107,30 @@
             BackendDirectory directory,
             PlatformView view,
             LeaseGuard leaseGuard,
+            StoreEraTracker eras,
             InternalHttpClient ownershipClient,
             Random random,
             Consumer<KeyMoveAnnouncement> moveAnnouncer) {
         this.context = context;
-        this.self = context.settings().instance();
         this.platformLimits = context.settings().platformLimits();
         this.store = context.store();
         this.adapter = context.adapter();
-        this.loop = context.loop();
         this.clock = context.clock();
         this.log = context.log();
         this.routing = routing;
         this.directory = directory;
         this.view = view;
-        this.leaseGuard = leaseGuard;
-        this.ownershipCalls =
-                new OwnershipCallQueues(ownershipClient, adapter.headers(), () -> roleHeld && leaseGuard.isValid());
-        this.random = random;
+        this.eras = eras;
+        this.lease = new KeyCoordinatorLease(
+                context,
+                view,
+                leaseGuard,
+                eras,
+                random,
+                () -> retainedTables.containsAny(eras.current()),
+                new RoleListener());
+        this.ownershipCalls = new OwnershipCallQueues(ownershipClient, adapter.headers(), lease::isValid);
+        this.eraLearnedAt = clock.millis();
         this.moveAnnouncer = moveAnnouncer;
     }
 
@@ -152,14 +141,14 @@
 
     /** Sets the live instances. */
     void setLivePeers(Map<InstanceId, PeerExchange.Peer> live) {
-        candidates = live.entrySet().stream()
+        lease.setCandidates(live.entrySet().stream()
                 .map(entry -> entry.getValue().candidate(entry.getKey()))
-                .toList();
+                .toList());
     }
 
     /** Returns the instance that holds the role of key coordinator, or null if none is known. */
     InstanceId roleHolder() {
-        return roleHolder;
+        return lease.holder();
     }
 
     /**
@@ -169,12 +158,8 @@
      * @return whether the record concerns the role or an owner table
      */
     boolean applyRecord(String name, byte[] value, long revision) {
-        if (name.equals(ROLE_RECORD)) {
-            roleHolder = value == null ? null : new InstanceId(new String(value, StandardCharsets.UTF_8));
-            log.info("custodian-changed", "custodian", roleHolder, "revision", revision);
-            if (roleHeld && !self.equals(roleHolder) && revision > roleRevision) {
-                loseRole("another instance holds the role");
-            }
+        if (name.equals(KeyCoordinatorLease.RECORD)) {
+            lease.applyRecord(value, revision);
             return true;
         }
         if (!name.startsWith(TABLE_RECORD_PREFIX)) {
@@ -182,38 +167,46 @@
         }
         ServiceName service = new ServiceName(name.substring(TABLE_RECORD_PREFIX.length()));
         if (value != null) {
-            routing.ownerView(service).updateTable(KeyTableCodec.decode(value));
+            KeyTable table = KeyTableCodec.decode(value);
+            routing.ownerView(service).updateTable(table);
+            if (table.era().equals(eras.current())) {
+                retainedTables.remove(service);
+            }
             CoordinatedService coordinatedService = coordinatedServices.get(service);
             if (coordinatedService != null
                     && revision > coordinatedService.tableRevision
                     && !coordinatedService.writePending) {
                 log.warn("owner-table-changed-by-other", "service", service, "revision", revision);
-                coordinatedServices.remove(service);
+                coordinatedService.stop();
             }
         }
         return true;
     }
 
+    /** Returns the number of services whose keys are not granted, because earlier owners may hold them. */
+    int waitingServices() {
+        return (int) coordinatedServices.values().stream()
+                .filter(CoordinatedService::isWaiting)
+                .count();
+    }
+
     /** Counts one request for a key. Refused requests count as well, because they are excess load. */
     void recordKeyUse(ServiceName service, int slot) {
-        if (roleHeld) {
+        if (lease.isHeld()) {
             keyLoads.computeIfAbsent(service, name -> new KeyLoads()).add(slot, 1, clock.millis());
         }
     }
 
     private void tick() {
-        if (stopped) {
-            return;
-        }
         long now = clock.millis();
-        if (!roleHeld) {
-            claimIfFree();
+        if (!lease.isHeld()) {
+            if (!keyedServices().isEmpty()) {
+                lease.claimIfFree();
+            }
             return;
         }
-        if (now >= nextRenewalAt && !renewalPending) {
-            renew(now);
-        }
-        if (!leaseGuard.isValid()) {
+        lease.renewIfDue(now);
+        if (!lease.isValid()) {
             return;
         }
         for (ServiceConfig service : keyedServices()) {
@@ -239,124 +232,49 @@
                         .toList();
     }
 
-    private void claimIfFree() {
-        if (!claimPending
-                && roleHolder == null
-                && view.synced()
-                && view.isServedDirectly()
-                && !keyedServices().isEmpty()) {
-            claimPending = true;
-            loop.schedule(this::claim, claimDelayMillis(), TimeUnit.MILLISECONDS);
-        }
-    }
-
     /**
-     * Returns the delay before an attempt to claim the role. Most instances learn of the new holder before their turn
-     * and make no attempt. The instance with the largest bandwidth is the first, because a coordinator whose link is
-     * occupied by a large change gets no answers to its ownership calls, and the keys lose their owners.
+     * Gives up the role, because the store came back from an earlier copy and the lease may be gone.
+     *
+     * @param earlier the era that ended
      */
-    private long claimDelayMillis() {
-        int rank =
-                Math.min(MAX_CLAIM_RANK, InstanceOrder.rank(context.settings().candidate(), candidates));
-        return rank * CLAIM_RANK_DELAY_MILLIS + random.nextInt(MAX_CLAIM_DELAY_MILLIS);
-    }
-
-    private void claim() {
-        if (roleHolder != null || stopped) {
-            claimPending = false;
-            return;
-        }
-        long sentAt = clock.millis();
-        store.createLease(ROLE_TERM_MILLIS, leaseResult -> {
-            view.recordCallResult(leaseResult.status());
-            if (leaseResult.status() != DurableStore.Status.DONE || roleHolder != null) {
-                retryClaimLater(leaseResult.lease());
-                return;
-            }
-            String key = adapter.routerRecordKey(ROLE_RECORD);
-            DurableStore.Transaction transaction = new DurableStore.Transaction(
-                    List.of(new DurableStore.StoreRecord(key, null, 0)),
-                    List.of(new DurableStore.StoreRecord(key, self.value().getBytes(StandardCharsets.UTF_8), 0)),
-                    leaseResult.lease());
-            store.commit(transaction, result -> {
-                if (result.status() == DurableStore.Status.DONE) {
-                    startRole(leaseResult, result.revision(), sentAt);
-                } else {
-                    retryClaimLater(leaseResult.lease());
-                }
-            });
-        });
-    }
-
-    private void startRole(DurableStore.Result leaseResult, long revision, long sentAt) {
-        claimPending = false;
-        roleHeld = true;
-        roleLease = leaseResult.lease();
-        roleRevision = revision;
-        roleHolder = self;
-        leaseGuard.recordRenewal(sentAt, leaseResult.leaseMillis());
-        nextRenewalAt = sentAt + ROLE_RENEWAL_INTERVAL_MILLIS;
-        nextRebalanceAt = clock.millis() + REBALANCE_INTERVAL_MILLIS;
-        coordinatedServices.clear();
-        // Earlier table writes can no longer succeed, because the store refuses writes that are conditional on
-        // an earlier version of the role record.
-        servicesWithUncertainTable.clear();
-        log.info("custodian-role-taken", "revision", revision, "leaseMillis", leaseResult.leaseMillis());
-    }
-
-    private void retryClaimLater(long unusedLease) {
-        if (unusedLease != 0) {
-            store.endLease(unusedLease, endResult -> view.recordCallResult(endResult.status()));
-        }
-        loop.schedule(() -> claimPending = false, CLAIM_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void renew(long now) {
-        renewalPending = true;
-        nextRenewalAt = now + ROLE_RENEWAL_INTERVAL_MILLIS;
-        store.renewLease(roleLease, result -> {
-            renewalPending = false;
-            view.recordCallResult(result.status());
-            if (!roleHeld) {
-                return;
-            }
-            if (result.status() == DurableStore.Status.DONE) {
-                leaseGuard.recordRenewal(now, ROLE_TERM_MILLIS);
-            } else if (result.status() == DurableStore.Status.CONFLICT) {
-                loseRole("the lease of the role has expired");
-            } else {
-                nextRenewalAt = clock.millis() + RETRY_DELAY_MILLIS;
+    void storeRestored(StoreEra earlier) {
+        // A role that was claimed in an earlier era was given up when that era ended.
+        Map<ServiceName, KeyTable> held = new HashMap<>();
+        coordinatedServices.forEach((service, coordinated) -> {
+            KeyTable table = coordinated.exactTable();
+            if (table != null) {
+                held.put(service, table);
             }
         });
+        retainedTables.retain(held, earlier, lease.isValid());
+        eraLearnedAt = clock.millis();
+        returnSeen = true;
+        lease.storeRestored();
     }
 
-    private void loseRole(String reason) {
-        log.warn("custodian-role-lost", "reason", reason, "revision", roleRevision);
-        roleHeld = false;
-        leaseGuard.recordEnd();
-        ownershipCalls.clear();
-        coordinatedServices.clear();
-        keyLoads.clear();
-        if (self.equals(roleHolder)) {
-            roleHolder = null;
-        }
+    /** Ends the lease of the role, so that another instance can take over without waiting for the expiry. */
+    void stop() {
+        lease.stop();
     }
 
-    /** Gives up the role, because the store came back from an earlier copy and the lease may be gone. */
-    void storeRestored() {
-        if (roleHeld) {
-            loseRole("the store came back from an earlier copy");
+    /** Starts and ends the coordination of all services with the role. */
+    private final class RoleListener implements KeyCoordinatorLease.Listener {
+        @Override
+        public void roleTaken(long now) {
+            roleTakenAt = now;
+            nextRebalanceAt = now + REBALANCE_INTERVAL_MILLIS;
+            coordinatedServices.clear();
+            coordinatedUntil.clear();
+            // Earlier table writes can no longer succeed, because the store refuses writes that are conditional on
+            // an earlier version of the role record.
+            servicesWithUncertainTable.clear();
         }
-    }
 
-    /** Ends the lease of the role, so that another instance can take over without waiting for the expiry. */
-    void stop() {
-        stopped = true;
-        if (roleHeld) {
-            log.info("custodian-role-given-up", "revision", roleRevision);
-            roleHeld = false;
-            leaseGuard.recordEnd();
-            store.endLease(roleLease, endResult -> view.recordCallResult(endResult.status()));
+        @Override
+        public void roleLost() {
+            ownershipCalls.clear();
+            coordinatedServices.clear();
+            keyLoads.clear();
         }
     }
 
@@ -364,8 +282,13 @@
     private final class CoordinatedService implements KeyCoordinatorActions {
         private final ServiceName service;
         private KeyCoordinator coordinator;
+        /** Table that is being written before the key coordinator starts, or null. */
+        private KeyTable startingTable;
+
         private long tableRevision;
         private boolean writePending;
+        /** When the stored table is to be read again; {@link Long#MAX_VALUE} while that is not planned. */
+        private long nextReadAt = Long.MAX_VALUE;
 
         CoordinatedService(ServiceName service) {
             this.service = service;
@@ -376,63 +299,130 @@
         }
 
         private boolean isCurrent() {
-            return roleHeld && coordinatedServices.get(service) == this;
+            return lease.isHeld() && coordinatedServices.get(service) == this;
+        }
+
+        private boolean isWaiting() {
+            return nextReadAt != Long.MAX_VALUE;
+        }
+
+        /** Ends the coordination; the next tick starts it again with the stored table. */
+        private void stop() {
+            coordinatedServices.remove(service);
+            if (coordinator != null) {
+                coordinatedUntil.put(service, clock.millis());
+            }
+        }
+
+        /** Returns the table that names all servers that may hold keys, or null if it is not known. */
+        private KeyTable exactTable() {
+            return coordinator == null ? startingTable : coordinator.table();
         }
 
         private void loadTable() {
+            nextReadAt = Long.MAX_VALUE;
             store.readAll(tableKey(), TABLE_PAGE_TIMEOUT_MILLIS, result -> {
                 if (!isCurrent()) {
                     return;
                 }
                 if (result.status() != DurableStore.Status.DONE) {
-                    coordinatedServices.remove(service);
+                    stop();
                     return;
                 }
-                KeyTable table = KeyTable.empty();
+                KeyTable stored = null;
+                tableRevision = 0;
                 for (DurableStore.StoreRecord storeRecord : result.records()) {
                     if (storeRecord.key().equals(tableKey())) {
                         tableRevision = storeRecord.revision();
                         try {
-                            table = KeyTableCodec.decode(storeRecord.value());
+                            stored = KeyTableCodec.decode(storeRecord.value());
                         } catch (JackdawslipException e) {
                             // Fencing tokens must increase, so nothing is granted until the record is valid
                             // and was loaded.
                             log.warn("owner-table-unreadable", "service", service, "problem", e.getMessage());
                             return;
                         }
-                        routing.ownerView(service).updateTable(table);
+                        routing.ownerView(service).updateTable(stored);
                     }
                 }
-                if (servicesWithUncertainTable.contains(service)) {
-                    supersedeEarlierWrite(table);
-                } else {
-                    startCoordinator(table);
-                }
+                follow(recoveryPlan(stored));
             });
         }
 
-        /**
-         * Writes the table that was just read back unchanged. The store may still carry out an earlier write
-         * without a response, until the revision in the condition of that write is replaced.
-         */
-        private void supersedeEarlierWrite(KeyTable table) {
+        private TableRecovery.Plan recoveryPlan(KeyTable stored) {
+            long lastCoordinatedAt = Math.max(roleTakenAt, coordinatedUntil.getOrDefault(service, roleTakenAt));
+            long earlierGrantsEndAt = TableRecovery.earlierGrantsEndAt(
+                    eraLearnedAt, lastCoordinatedAt, KeyCoordinatorLease.TERM_MILLIS, keyTiming());
+            TableRecovery.Knowledge knowledge = new TableRecovery.Knowledge(
+                    eras.current(),
+                    stored,
+                    retainedTables.find(service, eras.current()),
+                    routing.ownerView(service).table(),
+                    returnSeen,
+                    earlierGrantsEndAt);
+            return TableRecovery.plan(knowledge, clock.millis(), RETRY_DELAY_MILLIS);
+        }
+
+        private void follow(TableRecovery.Plan plan) {
+            switch (plan.step()) {
+                case USE -> {
+                    if (servicesWithUncertainTable.contains(service)) {
+                        // The store may still carry out an earlier write without a response, until the revision in the
+                        // condition of that write is replaced.
+                        writeBeforeStart(plan.table(), "owner-table-settled", plan.reason());
+                    } else {
+                        startCoordinator(plan.table());
+                    }
+                }
+                case WRITE -> writeBeforeStart(plan.table(), "owner-table-restored", plan.reason());
+                case READ_LATER -> {
+                    nextReadAt = plan.readAt();
+                    log.warn(
+                            "owner-table-not-used",
+                            "service",
+                            service,
+                            "reason",
+                            plan.reason(),
+                            "era",
+                            eras.current().number(),
+                            "waitMillis",
+                            plan.readAt() - clock.millis());
+                }
+                default -> throw new IllegalStateException("unexpected step " + plan.step());
+            }
+        }
+
+        /** Writes a table, and starts the key coordinator with it once it is durable. */
+        private void writeBeforeStart(KeyTable table, String event, TableRecovery.Reason reason) {
+            startingTable = table;
             writeTable(table, result -> {
-                log.info("owner-table-settled", "service", service, "status", result.status());
+                log.info(
+                        event,
+                        "service",
+                        service,
+                        "reason",
+                        reason,
+                        "status",
+                        result.status(),
+                        "era",
+                        table.era().number());
                 if (!isCurrent()) {
                     return;
                 }
                 if (result.status() == DurableStore.Status.DONE) {
                     tableRevision = result.revision();
                     servicesWithUncertainTable.remove(service);
+                    routing.ownerView(service).updateTable(table);
                     startCoordinator(table);
                 } else {
-                    coordinatedServices.remove(service);
+                    stop();
                 }
             });
         }
 
         private void startCoordinator(KeyTable table) {
             coordinator = new KeyCoordinator(keyTiming(), this, table, clock.millis());
+            retainedTables.remove(service);
             log.info(
                     "owner-table-loaded",
                     "service",
@@ -451,7 +441,8 @@
             writePending = true;
             DurableStore.Transaction transaction = new DurableStore.Transaction(
                     List.of(
-                            new DurableStore.StoreRecord(adapter.routerRecordKey(ROLE_RECORD), null, roleRevision),
+                            new DurableStore.StoreRecord(
+                                    adapter.routerRecordKey(KeyCoordinatorLease.RECORD), null, lease.revision()),
                             new DurableStore.StoreRecord(tableKey(), null, tableRevision)),
                     List.of(new DurableStore.StoreRecord(tableKey(), KeyTableCodec.encode(table), 0)),
                     0);
@@ -482,6 +473,9 @@
 
         private void tick(long now) {
             if (coordinator == null) {
+                if (now >= nextReadAt) {
+                    loadTable();
+                }
                 return;
             }
             Map<BackendServerId, Backend> listed = new HashMap<>();
@@ -648,7 +642,7 @@
                 } else {
                     // The table may have been written, so the next tick reads the stored table again.
                     log.warn("owner-table-not-saved", "service", service, "status", result.status());
-                    coordinatedServices.remove(service);
+                    stop();
                 }
             });
         }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyTableCodec.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyTableCodec.java
@@ -14,10 +14,14 @@
 import org.jackdawslip.ErrorCode;
 import org.jackdawslip.FencingToken;
 import org.jackdawslip.JackdawslipException;
+import org.jackdawslip.internal.durable.StoreEra;
 import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.keyspace.KeyTable;
 
-/** Encodes owner tables as JSON for the store, and decodes them. Stateless and thread-safe. */
+/**
+ * Encodes owner tables as JSON for the store, and decodes them. Earlier versions ignore the era and write none.
+ * Stateless and thread-safe.
+ */
 final class KeyTableCodec {
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -30,6 +34,9 @@
         try (JsonGenerator json = FACTORY.createGenerator(text)) {
             json.writeStartObject();
             json.writeNumberField("nextToken", table.nextToken().value());
+            if (!table.era().equals(StoreEra.NONE)) {
+                json.writeNumberField("era", table.era().number());
+            }
             json.writeArrayFieldStart("segments");
             for (KeySegment segment : table.segments()) {
                 json.writeStartArray();
@@ -66,7 +73,8 @@
                         toLong(entry.required(3)),
                         new FencingToken(toLong(entry.required(4)))));
             }
-            return new KeyTable(segments, new FencingToken(toLong(root.required("nextToken"))));
+            StoreEra era = root.has("era") ? new StoreEra(toLong(root.get("era"))) : StoreEra.NONE;
+            return new KeyTable(segments, new FencingToken(toLong(root.required("nextToken"))), era);
         } catch (IOException | IllegalArgumentException | ArithmeticException e) {
             throw new JackdawslipException(ErrorCode.INVALID_ARGUMENT, "invalid owner table: " + e.getMessage(), e);
         }
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/KeyTableCodecTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/KeyTableCodecTest.java
@@ -7,11 +7,13 @@
 import org.jackdawslip.BackendServerId;
 import org.jackdawslip.FencingToken;
 import org.jackdawslip.JackdawslipException;
+import org.jackdawslip.internal.durable.StoreEra;
 import org.jackdawslip.internal.keyspace.KeySegment;
 import org.jackdawslip.internal.keyspace.KeyTable;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 /** Guards against an owner table that differs after encoding and decoding. */
 class KeyTableCodecTest {
@@ -27,6 +29,25 @@
         KeyTable read = KeyTableCodec.decode(KeyTableCodec.encode(TABLE));
         assertEquals(TABLE.segments(), read.segments());
         assertEquals(TABLE.nextToken(), read.nextToken());
+        assertEquals(StoreEra.NONE, read.era());
+    }
+
+    /** Guards against a table of an earlier era that is taken for one of the present era. */
+    @Test
+    void eraOfTheTableIsKept() {
+        KeyTable written = new KeyTable(TABLE.segments(), TABLE.nextToken(), new StoreEra(7));
+        assertEquals(
+                new StoreEra(7),
+                KeyTableCodec.decode(KeyTableCodec.encode(written)).era());
+    }
+
+    /** Guards against a table with an invalid era that is taken for one of a store without eras. */
+    @Test
+    void invalidEraIsRejected() {
+        String text = new String(KeyTableCodec.encode(TABLE), StandardCharsets.UTF_8);
+        for (String era : new String[] {"-1", "\"1\"", "0.5", "null", "18446744073709551616"}) {
+            assertFalse(isValidTable(text.replaceFirst("\\{", "{\"era\":" + era + ",")), era);
+        }
     }
 
     /**
