--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedStore.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/SimulatedStore.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -36,6 +37,11 @@
     private long revision = 1;
     private long historyStartRevision = 1;
     private long responseMillis = USUAL_RESPONSE_MILLIS;
+    /** The earlier state that a replica still has, or null. */
+    private Copy replica;
+
+    private StoreEra replicaEra;
+    private BooleanSupplier replicaAnswers = () -> false;
     private boolean changesWithheld;
     private boolean emptyWatchResponses;
     private boolean outage;
@@ -100,6 +106,27 @@
         }
     }
 
+    /** Sets the era that the store states. */
+    void startEra(StoreEra first) {
+        era = first;
+    }
+
+    /**
+     * Lets a replica answer a part of the calls with a state and its era that the store no longer has.
+     *
+     * @param millis time after which the replica is gone
+     */
+    void keepReplica(Copy state, StoreEra stateEra, double share, long millis, Random random) {
+        replica = state;
+        replicaEra = stateEra;
+        schedule(millis, () -> replica = null);
+        replicaAnswers = () -> replica != null && random.nextDouble() < share;
+    }
+
+    StoreEra era() {
+        return era;
+    }
+
     /** Returns the value of a record, or null if there is none. */
     String get(String key) {
         DurableStore.StoreRecord storeRecord = recordsByKey.get(key);
@@ -242,7 +269,9 @@
                     lostReadResponses--;
                 } else {
                     // A connection that is cut states no era.
-                    Result stated = result.status() == Status.UNKNOWN ? result : result.withEra(era);
+                    boolean states =
+                            result.status() != Status.UNKNOWN && result.era().equals(StoreEra.NONE);
+                    Result stated = states ? result.withEra(era) : result;
                     schedule(
                             responseMillis / 2 + transferMillis(result) + eventLoopDelayMillis,
                             () -> once.accept(stated));
@@ -297,11 +326,14 @@
                         }
                     },
                     () -> {
-                        List<StoreRecord> page = recordsByKey.tailMap(afterKey, false).values().stream()
+                        boolean ofReplica = replicaAnswers.getAsBoolean();
+                        TreeMap<String, StoreRecord> state = ofReplica ? new TreeMap<>(replica.records) : recordsByKey;
+                        List<StoreRecord> page = state.tailMap(afterKey, false).values().stream()
                                 .limit(PAGE_SIZE)
                                 .toList();
                         truncated[0] = page.size() == PAGE_SIZE;
-                        return new Result(Status.DONE, page, revision, 0, 0);
+                        return new Result(Status.DONE, page, ofReplica ? replica.revision : revision, 0, 0)
+                                .withEra(ofReplica ? replicaEra : era);
                     });
         }
 
@@ -309,6 +341,13 @@
         public void watch(
                 String prefix, long afterRevision, long waitMillis, long timeoutMillis, Consumer<Result> whenDone) {
             call(true, timeoutMillis, whenDone, respond -> {
+                if (replicaAnswers.getAsBoolean()) {
+                    List<StoreRecord> changes = replica.history.stream()
+                            .filter(storeRecord -> storeRecord.revision() > afterRevision)
+                            .toList();
+                    respond.accept(new Result(Status.DONE, changes, replica.revision, 0, 0).withEra(replicaEra));
+                    return;
+                }
                 if (afterRevision < historyStartRevision || afterRevision > revision) {
                     respond.accept(Result.of(Status.HISTORY_GONE));
                     return;
