Let the store stand-in return from an earlier copy

StoreServer.copy keeps records and index; restore puts them back and closes the connections of waiting watches, so that indexes are given out again. Registrations stay, because agents add them again.

--- a/jackdawslip-standins/src/main/java/org/jackdawslip/standins/StoreServer.java
+++ b/jackdawslip-standins/src/main/java/org/jackdawslip/standins/StoreServer.java
@@ -57,6 +57,8 @@
     private boolean listingFrozen;
     private long listingLagMillis;
     private boolean closed;
+    /** The number of returns from a copy. */
+    private long restores;
 
     private StoreServer(Builder builder) {
         listingLagMillis = builder.listingLagMillis;
@@ -108,6 +110,25 @@
         notifyAll();
     }
 
+    /** Returns a copy of all records and of the index. */
+    public synchronized Copy copy() {
+        return new Copy(Map.copyOf(entries), Map.copyOf(deletedIndexes), index);
+    }
+
+    /**
+     * Replaces all records and the index by those of a copy, as after a restore from a snapshot, and closes the
+     * connections of waiting watches. Registrations stay, because agents add them again.
+     */
+    public synchronized void restore(Copy copy) {
+        entries.clear();
+        entries.putAll(copy.entries);
+        deletedIndexes.clear();
+        deletedIndexes.putAll(copy.deletedIndexes);
+        index = copy.index;
+        restores++;
+        notifyAll();
+    }
+
     /** Sets the delay before every call, in milliseconds. */
     public synchronized void setCallDelayMillis(long value) {
         callDelayMillis = value;
@@ -249,15 +270,16 @@
     private boolean awaitChange(String key, long knownIndex, long deadlineNanos) {
         countCall("watches");
         waitingWatches++;
+        long restoresBefore = restores;
         try {
-            while (!unavailable && !closed && indexOf(key) <= knownIndex) {
+            while (!unavailable && !closed && restores == restoresBefore && indexOf(key) <= knownIndex) {
                 long remainingMillis = (deadlineNanos - System.nanoTime()) / 1_000_000;
                 if (remainingMillis <= 0) {
                     return true;
                 }
                 wait(remainingMillis);
             }
-            return !unavailable && !closed;
+            return !unavailable && !closed && restores == restoresBefore;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return false;
@@ -429,6 +451,19 @@
         callCounts.merge(kind, 1L, Long::sum);
     }
 
+    /** The records and the index of a store at one moment. Immutable and thread-safe. */
+    public static final class Copy {
+        private final Map<String, Entry> entries;
+        private final Map<String, Long> deletedIndexes;
+        private final long index;
+
+        private Copy(Map<String, Entry> entries, Map<String, Long> deletedIndexes, long index) {
+            this.entries = entries;
+            this.deletedIndexes = deletedIndexes;
+            this.index = index;
+        }
+    }
+
     private record Entry(byte[] value, long createIndex, long modifyIndex) {}
 
     private record Listing(long atMillis, long index, Map<String, JsonNode> instances) {}
