Start blocking reads again after the store came back from an earlier copy

Cause: a blocking read kept its index after a failed call. A store that had gone back held it for 30 s, and changes with indexes up to the lost ones stayed unseen.

Change: a failed call resets the index to 0, and so does a pause while the instance has no role. The first result after a failure or with a lower index tells the coordinator to read the homes records again.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/entry/EntryRuntime.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/entry/EntryRuntime.java
@@ -254,17 +254,18 @@
                         false));
         bundleUpdater.readStore();
         summaryExchange.readInstanceList();
-        startWatch(StoreRecords.BUNDLE_KEY, bundleUpdater::handleStoreRead);
-        startWatch(StoreRecords.coordinatorKey(context.domain()), driver::handleCoordinatorRead);
+        watch(StoreRecords.BUNDLE_KEY, bundleUpdater::handleStoreRead).start();
+        watch(StoreRecords.coordinatorKey(context.domain()), driver::handleCoordinatorRead)
+                .onReconnect(driver::reportStoreReconnected)
+                .start();
     }
 
-    private void startWatch(String key, Consumer<ReadResult> receiver) {
-        new StoreWatch(
-                        context,
-                        key,
-                        () -> driver.member().isCoordinator() || driver.member().isSuccessor(),
-                        receiver)
-                .start();
+    private StoreWatch watch(String key, Consumer<ReadResult> receiver) {
+        return new StoreWatch(
+                context,
+                key,
+                () -> driver.member().isCoordinator() || driver.member().isSuccessor(),
+                receiver);
     }
 
     private void onBundleInForce(Bundle bundle) {
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/entry/MemberDriver.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/entry/MemberDriver.java
@@ -315,6 +315,12 @@
         // The input listener runs after every input and applies the rights then.
     }
 
+    /** Reports to the member that the store may have come back from an earlier copy. */
+    void reportStoreReconnected() {
+        member.onStoreReconnected(context.nowMillis());
+        afterInput();
+    }
+
     void reportHandover(BackendServerId server) {
         member.onHandedOver(context.nowMillis(), server);
         afterInput();
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/entry/StoreWatch.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/entry/StoreWatch.java
@@ -8,7 +8,8 @@
 
 /**
  * Watches one record of the store while a condition holds, with one blocking store call for each wait. The
- * receiver gets every result with a new index.
+ * receiver gets every result with a new index, and the first one after a failed call: the store may have come back
+ * from an earlier copy, which gives out indexes again.
  *
  * <p>Not thread-safe; confined to the decision thread.
  */
@@ -21,7 +22,9 @@
     private final String key;
     private final BooleanSupplier condition;
     private final Consumer<ReadResult> receiver;
+    private Runnable reconnectListener = () -> {};
     private long index;
+    private boolean interrupted;
 
     StoreWatch(InstanceContext context, String key, BooleanSupplier condition, Consumer<ReadResult> receiver) {
         this.context = context;
@@ -30,8 +33,15 @@
         this.receiver = receiver;
     }
 
+    /** Sets the listener that runs after a result that may come from an earlier copy of the store. */
+    StoreWatch onReconnect(Runnable listener) {
+        reconnectListener = listener;
+        return this;
+    }
+
     void start() {
         if (!condition.getAsBoolean()) {
+            index = 0;
             retryLater();
             return;
         }
@@ -42,6 +52,8 @@
 
     private void handleResult(ReadResult result) {
         if (result instanceof ReadResult.Unavailable) {
+            index = 0;
+            interrupted = true;
             retryLater();
             return;
         }
@@ -50,6 +62,10 @@
         if (index != previousIndex) {
             receiver.accept(result);
         }
+        if (interrupted || index < previousIndex) {
+            interrupted = false;
+            reconnectListener.run();
+        }
         start();
     }
 
