--- a/jackdawslip-cli/src/test/java/org/jackdawslip/session/RestoredStoreSessionTest.java
+++ b/jackdawslip-cli/src/test/java/org/jackdawslip/session/RestoredStoreSessionTest.java
@@ -3,7 +3,10 @@
 import java.nio.file.Path;
 import java.time.Duration;
 
+import org.jackdawslip.cli.Operator;
+import org.jackdawslip.internal.bundle.SignedBundle;
 import org.jackdawslip.internal.store.ConsulStore;
+import org.jackdawslip.internal.store.ReadResult;
 import org.jackdawslip.internal.store.Store;
 import org.jackdawslip.standins.StoreServer;
 import org.junit.jupiter.api.Test;
@@ -34,6 +37,29 @@
                 .allMatch(name -> session.status(name).path("bundleVersion").asInt() == version));
     }
 
+    /** Guards against a failure domain that an operator takes out, with success, but that no instance treats as taken out. */
+    @Test
+    void failureDomainIsTakenOutAfterALostRollout() throws Exception {
+        try (Session session = start()) {
+            StoreServer.Copy copy = session.store.copy();
+            session.rollOutNext();
+            awaitVersion(session, 2);
+            session.store.restore(copy);
+            Session.await("the lost bundle in the store", () -> storedVersion(session) == 2);
+            assertEquals(
+                    "OK",
+                    Operator.run(
+                            "domain",
+                            "take-out",
+                            "fd-a",
+                            "--store",
+                            session.storeAddress(),
+                            "--key",
+                            session.file("ops.key")));
+            awaitVersion(session, 3);
+        }
+    }
+
     /** Guards against a watch that waits for an index above that of the lost records. */
     @Test
     void bundleAfterLostWritesIsInForceBeforeAWatchEnds() throws Exception {
@@ -56,4 +82,12 @@
             assertTrue(elapsed.compareTo(BEFORE_WATCH_ENDS) < 0, elapsed::toString);
         }
     }
+
+    private static long storedVersion(Session session) {
+        try (Store store = new ConsulStore("127.0.0.1", session.store.port())) {
+            return store.read("jackdawslip/bundle").join() instanceof ReadResult.Found found
+                    ? SignedBundle.parse(found.value()).version()
+                    : 0;
+        }
+    }
 }
