Write listings of instances again under a new lease after a return of the store

The store may have given the id to the holder of the role of key coordinator; a planned stop of the instance then ended the role, so that two coordinators could act, and a late listing stayed bound to the lease of another instance.

The lease of an earlier era is neither renewed nor ended. The listing is written again under a new lease, spread over 300 ms. The price: an instance uses no share of global limits for 10 s after a return, as after any new listing.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/MemberListings.java
@@ -31,8 +31,8 @@
 
     private static final long RENEWAL_INTERVAL_MILLIS = 2_500;
     private static final long RETRY_DELAY_MILLIS = 500;
-    /** Time after a return of the store by which the view shows whether the listing is there. */
-    private static final long CHECK_DELAY_MILLIS = 500;
+    /** Longest delay before a listing is written again, which spreads the calls of a fleet. */
+    private static final int MAX_RESTORE_DELAY_MILLIS = 300;
     /** Time without a renewal after which the sequence of renewals has ended; the lease has then ended too. */
     private static final long MAX_STALL_MILLIS = 30_000;
 
@@ -52,6 +52,9 @@
     private final MembershipStatus membershipStatus;
     private final Listener listener;
     private final Map<InstanceId, PeerExchange.Peer> liveInstances = new HashMap<>();
+    /** Differs between instances. */
+    private final long restoreDelayMillis;
+
     private long listingLease;
     private long termMillis;
     /**
@@ -77,6 +80,7 @@
         this.view = view;
         this.membershipStatus = membershipStatus;
         this.listener = listener;
+        this.restoreDelayMillis = Math.floorMod(settings.instance().hashCode(), MAX_RESTORE_DELAY_MILLIS);
     }
 
     /** Returns whether the name of a record of this router is one of a listing. */
@@ -145,23 +149,19 @@
     }
 
     /**
-     * Renews the lease at once, because the store came back from an earlier copy of itself, which may lack the lease or
-     * the listing.
+     * Writes the listing again under a new lease, because the store came back from an earlier copy of itself, which may
+     * lack both. The lease is neither renewed nor ended: its id may have been given to another instance.
      */
     void storeRestored() {
         listedRevision = 0;
-        if (listingLease != 0) {
-            newestAttempt++;
-            renew(CHECK_DELAY_MILLIS);
+        listingLease = 0;
+        if (!stopped && newestAttempt > 0) {
+            membershipStatus.recordListingEnd();
+            scheduleForAttempt(++newestAttempt, this::register, restoreDelayMillis);
         }
     }
 
     private void renew() {
-        renew(RENEWAL_INTERVAL_MILLIS);
-    }
-
-    /** Renews the lease, and again after the interval. */
-    private void renew(long intervalMillis) {
         if (stopped) {
             return;
         }
@@ -180,7 +180,7 @@
                         return;
                     }
                     membershipStatus.recordRenewal(sentAt, termMillis);
-                    scheduleForAttempt(attempt, this::renew, intervalMillis);
+                    scheduleForAttempt(attempt, this::renew, RENEWAL_INTERVAL_MILLIS);
                 }
                 case CONFLICT -> {
                     log.warn("member-lease-ended", "lease", listingLease);
