Hold listings of ended servers until the store removes them

A listing that is known to be gone is held for its term and the time in which it is written again, the same listing of an ended instance for 10 s, and an equal listing of the same start is not applied during the hold.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/PlatformView.java
@@ -49,7 +49,9 @@
     private static final int MAX_TIMEOUT_FACTOR = 2;
     /** Backend servers write expired listings again within about two seconds after an outage. */
     private static final long RELISTING_MILLIS = 1_900;
-    /** A listing expires after three heartbeats without renewal, the first of which may precede an outage. */
+    /** A listing expires after three heartbeats without renewal. */
+    private static final int HEARTBEATS_UNTIL_EXPIRY = 3;
+    /** The first of these heartbeats may precede an outage. */
     private static final int MIN_HEARTBEATS_UNTIL_EXPIRY = 2;
 
     /** Delay after changes that another instance passed on. It combines changes already. */
@@ -131,7 +133,10 @@
         this.membershipStatus = membershipStatus;
         this.listener = listener;
         GatewaySettings settings = context.settings();
-        this.hold = new RestoredStoreHold(adapter, MemberListings.listingKey(adapter, settings.instance()));
+        this.hold = new RestoredStoreHold(
+                adapter,
+                MemberListings.listingKey(adapter, settings.instance()),
+                HEARTBEATS_UNTIL_EXPIRY * settings.platformLimits().heartbeatIntervalMillis());
         this.budget = new ChangeTimeBudget(settings.platformLimits().maxChangeMillis());
         this.minOutageUntilExpiryMillis =
                 MIN_HEARTBEATS_UNTIL_EXPIRY * settings.platformLimits().heartbeatIntervalMillis()
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RestoredStoreHold.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/RestoredStoreHold.java
@@ -89,15 +89,19 @@
         INSTANCE(INSTANCE_HOLD_MILLIS) {
             @Override
             Decision compare(PlatformEvent inForce, PlatformEvent gone, PlatformEvent stored) {
-                if (!(inForce instanceof PlatformEvent.RouterRecordChanged known)
-                        || !(stored instanceof PlatformEvent.RouterRecordChanged listed)) {
-                    return Decision.APPLY;
-                }
-                byte[] value = listed.storeRecord().value();
-                if (value == null) {
+                byte[] value = valueOf(stored);
+                if (inForce == null) {
+                    return value != null && Arrays.equals(value, valueOf(gone)) ? Decision.HOLD : Decision.APPLY;
+                } else if (value == null) {
                     return Decision.HOLD;
                 }
-                return Arrays.equals(value, known.storeRecord().value()) ? Decision.UNCHANGED : Decision.APPLY;
+                return Arrays.equals(value, valueOf(inForce)) ? Decision.UNCHANGED : Decision.APPLY;
+            }
+
+            private byte[] valueOf(PlatformEvent event) {
+                return event instanceof PlatformEvent.RouterRecordChanged changed
+                        ? changed.storeRecord().value()
+                        : null;
             }
         },
         /** Records whose readers handle a return of the store themselves. */
@@ -127,6 +131,9 @@
     /** The listing of this instance is written again as soon as it is missing, so it is not held. */
     private final String ownListingKey;
 
+    /** Nobody writes or removes the listing of a server that has ended, so the store removes it after its term. */
+    private final long goneServerHoldMillis;
+
     private final Map<String, PlatformEvent> inForce = new HashMap<>();
     private final Map<String, PlatformEvent> gone = new LinkedHashMap<>() {
         @Override
@@ -147,10 +154,12 @@
      * Creates the state of an instance that knows no records.
      *
      * @param ownListingKey key of the listing of this instance in the store
+     * @param listingTermMillis time after which the store removes the listing of a server that writes no heartbeats
      */
-    RestoredStoreHold(PlatformAdapter adapter, String ownListingKey) {
+    RestoredStoreHold(PlatformAdapter adapter, String ownListingKey, long listingTermMillis) {
         this.adapter = adapter;
         this.ownListingKey = ownListingKey;
+        this.goneServerHoldMillis = Math.min(INSTANCE_HOLD_MILLIS, listingTermMillis + RECORD_HOLD_MILLIS);
     }
 
     private Kind kindOf(String key) {
@@ -190,7 +199,7 @@
             return;
         }
         PlatformEvent previous = inForce.remove(key);
-        if (previous instanceof PlatformEvent.BackendListed) {
+        if (previous != null && kind != Kind.DOMAIN) {
             gone.put(key, previous);
         }
     }
@@ -231,7 +240,12 @@
 
     /** Returns for how much longer a record with this key may be held, in milliseconds; 0 or less if it may not. */
     long remainingMillis(String key, long viewAt) {
-        return kindOf(key).holdMillis - (viewAt - readAt);
+        return holdMillis(key) - (viewAt - readAt);
+    }
+
+    private long holdMillis(String key) {
+        Kind kind = kindOf(key);
+        return kind == Kind.SERVER && gone.containsKey(key) ? goneServerHoldMillis : kind.holdMillis;
     }
 
     /**
@@ -244,9 +258,12 @@
         String key = storeRecord.key();
         boolean later = written || storeRecord.value() != null && storeRecord.revision() > readRevision;
         Kind kind = kindOf(key);
-        if (later || remainingMillis(key, viewAt) <= 0) {
+        if (remainingMillis(key, viewAt) <= 0) {
             return Decision.APPLY;
         }
-        return kind.compare(inForce.get(key), gone.get(key), event);
+        Decision decision = kind.compare(inForce.get(key), gone.get(key), event);
+        // A configuration that was written again shows that the store has the newest one.
+        boolean applied = decision == Decision.HOLD || kind == Kind.CONFIGURATION;
+        return later && applied ? Decision.APPLY : decision;
     }
 }
