Treat a missing owner table as lost once the store came back

What backend servers could see: a gateway that started after the return of the store found no owner table in the copy and assigned all keys anew with the first token while others held them. After such a table was replaced, a later return from a copy with an earlier table used tokens again.

Cause: a missing table counted as none unless the process itself saw the return; the margin of tokens was relative to the table of the copy only.

Change: in an era above 1 a missing table counts as lost, so the key coordinator waits for the end of earlier grants. Tokens after a wait start at 2,000,000 times the era or above. By calculation, a first start on a store that came back before takes 8 to 10 s longer to assign keys; that was not measured.

All tests of jackdawslip-core and jackdawslip-runtime pass (474, 6, 385).

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/TableRecovery.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/TableRecovery.java
@@ -25,6 +25,9 @@
     /** Bounds the tokens that are skipped if a table states no era. */
     private static final long MAX_ERA_DISTANCE = 1_000_000;
 
+    /** The highest era of a store that may never have come back, whether it counts from 0 or from 1. */
+    private static final StoreEra FIRST_ERA = new StoreEra(1);
+
     private TableRecovery() {}
 
     /** What the holder of the role does next. */
@@ -47,7 +50,7 @@
         OWN_MEMORY,
         /** The table in the store was written before the store came back. */
         EARLIER_ERA,
-        /** The table was lost when the store came back. */
+        /** The table may have been lost when the store came back. */
         TABLE_LOST,
         /** The table in the store was written in an era that the store has not stated yet. */
         LATER_ERA
@@ -131,7 +134,8 @@
         } else if (stored != null) {
             return Reason.EARLIER_ERA;
         }
-        return knowledge.returnSeen() ? Reason.TABLE_LOST : Reason.NO_TABLE;
+        boolean returned = knowledge.returnSeen() || knowledge.current().compareTo(FIRST_ERA) > 0;
+        return returned ? Reason.TABLE_LOST : Reason.NO_TABLE;
     }
 
     /** Returns the newest table with a token for all segments that is higher than all that were granted. */
@@ -144,7 +148,7 @@
                 .mapToLong(table -> table.nextToken().value() + skippedTokens(table.era(), current))
                 .max()
                 .orElseThrow();
-        FencingToken token = new FencingToken(highest);
+        FencingToken token = new FencingToken(Math.max(highest, lowestToken(current)));
         List<KeySegment> segments =
                 tables.stream().max(Comparator.comparing(KeyTable::nextToken)).orElseThrow().segments().stream()
                         .map(segment -> new KeySegment(
@@ -165,4 +169,12 @@
         long distance = current.number() - written.number();
         return TOKEN_MARGIN * Math.max(1, Math.min(MAX_ERA_DISTANCE, distance));
     }
+
+    /**
+     * Returns a token above all that may have been granted before the given era if a lost table was replaced in an
+     * earlier one. Twice the margin, because the tokens of each era follow the ones of the era before.
+     */
+    private static long lowestToken(StoreEra current) {
+        return 2 * TOKEN_MARGIN * Math.min(MAX_ERA_DISTANCE, current.number());
+    }
 }
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/StoreReturnTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/StoreReturnTest.java
@@ -1,5 +1,6 @@
 package org.jackdawslip.internal.keyspace;
 
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
@@ -90,6 +91,19 @@
         assertEquals(List.of(), violations);
     }
 
+    /** Guards against a simulation in which some way to start with an owner table never occurs. */
+    @Test
+    void eachReasonOccurs() {
+        Set<TableRecovery.Reason> reasons = EnumSet.noneOf(TableRecovery.Reason.class);
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            StoreReturnSimulation simulation = new StoreReturnSimulation(seed);
+            simulation.run(FAULTY_MILLIS, 0);
+            reasons.addAll(simulation.plans.keySet());
+        }
+        reasons.remove(TableRecovery.Reason.LATER_ERA);
+        assertEquals(EnumSet.complementOf(EnumSet.of(TableRecovery.Reason.LATER_ERA)), reasons);
+    }
+
     /** Guards against a simulation that would not notice the loss of one of the guards. */
     @ParameterizedTest
     @EnumSource(StoreReturnSimulation.Guard.class)
