End the lease of the role at a planned stop only while it is certainly valid

After a return of the store its id may be one of the new holder, whose role then ended while it acted.

RestoredRoleTest.plannedStopEndsNoLeaseThatMayHaveExpired failed before ("end of 41") and passes now; the two other cases are guards.

--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorLease.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorLease.java
@@ -335,7 +335,12 @@
         if (held) {
             log.info("custodian-role-given-up", "revision", revision);
             held = false;
+            boolean valid = guard.isValid();
             guard.recordEnd();
+            if (!valid) {
+                // The id of a lease that has expired may have been given to another instance.
+                return;
+            }
             store.endLease(lease, endResult -> view.recordCallResult(endResult.status()));
         }
     }
