Wait only once for the grants that a restored owner table does not name

The key coordinator of a restored table starts with no holder of any segment, because the recovery has waited for that.

KeyCoordinatorTest.keysOfEndedServersMoveAtOnceAfterAllGrantsEnded and TableRecoveryTest.restoredTableHasNoHolders pass; a usual takeover keeps the keys of an ended server for its longest hold, so the first fails with it by its design.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinator.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/KeyCoordinator.java
@@ -136,6 +136,11 @@
      * table is empty.
      */
     public KeyCoordinator(KeyTiming timing, KeyCoordinatorActions actions, KeyTable table, long now) {
+        this(timing, actions, table, now, now + timing.maxHoldMillis());
+    }
+
+    private KeyCoordinator(
+            KeyTiming timing, KeyCoordinatorActions actions, KeyTable table, long now, long earlierGrantsEndAt) {
         this.timing = timing;
         this.actions = actions;
         this.era = table.era();
@@ -146,9 +151,9 @@
             addFree(nextSlot, segment.first() - 1);
             SegmentState state = new SegmentState(segment.first(), segment.last(), Phase.OWNED);
             state.segment = segment;
-            state.heldUntil = now + timing.maxHoldMillis();
+            state.heldUntil = earlierGrantsEndAt;
             // Grant calls of the previous key coordinator may be in transit.
-            state.lateGrantUntil = state.heldUntil;
+            state.lateGrantUntil = earlierGrantsEndAt;
             state.nextCallAt = now
                     + TAKEOVER_SPREAD_MILLIS * states.size() / table.segments().size();
             states.put(state.first, state);
@@ -157,6 +162,15 @@
         addFree(nextSlot, KeySegment.SLOTS - 1);
     }
 
+    /**
+     * Creates a key coordinator that takes over a table whose segments are certainly held by nobody, because all
+     * earlier grants have ended.
+     */
+    public static KeyCoordinator afterAllGrantsEnded(
+            KeyTiming timing, KeyCoordinatorActions actions, KeyTable table, long now) {
+        return new KeyCoordinator(timing, actions, table, now, now);
+    }
+
     private void addFree(int first, int last) {
         if (first <= last) {
             states.put(first, new SegmentState(first, last, Phase.FREE));
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/TableRecovery.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/TableRecovery.java
@@ -80,7 +80,20 @@
      * @param table the table to use or to write; null if the store is to be read later
      * @param readAt when the store is to be read again; 0 if a table can be used or written now
      */
-    public record Plan(Step step, Reason reason, KeyTable table, long readAt) {}
+    public record Plan(Step step, Reason reason, KeyTable table, long readAt) {
+
+        /** Returns whether nobody holds a segment of the table, because all earlier grants have ended. */
+        public boolean grantsEnded() {
+            return step == Step.WRITE && reason != Reason.OWN_MEMORY;
+        }
+
+        /** Creates the key coordinator that starts with the table. */
+        public KeyCoordinator start(KeyTiming timing, KeyCoordinatorActions actions, long now) {
+            return grantsEnded()
+                    ? KeyCoordinator.afterAllGrantsEnded(timing, actions, table, now)
+                    : new KeyCoordinator(timing, actions, table, now);
+        }
+    }
 
     /**
      * Returns when all grants of earlier key coordinators have ended.
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/FakeOwners.java
@@ -131,6 +131,12 @@
         coordinator = new KeyCoordinator(TIMING, this, durable, now);
     }
 
+    void takeOverAfterAllGrantsEnded() {
+        pendingResults.clear();
+        queuedGrants.clear();
+        coordinator = KeyCoordinator.afterAllGrantsEnded(TIMING, this, durable, now);
+    }
+
     /** Ends a server and lists one of another service at its address. */
     void replaceByOtherService(String name, long startedAt) {
         crash(name);
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyCoordinatorTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/KeyCoordinatorTest.java
@@ -72,6 +72,18 @@
         assertEquals(token + 1, owners.nextToken().value());
     }
 
+    /** Guards against a second wait for the grants of a server that has ended. */
+    @Test
+    void keysOfEndedServersMoveAtOnceAfterAllGrantsEnded() {
+        start("s1", "s2");
+        owners.crash("s1");
+        owners.unlist("s1");
+        owners.now += FakeOwners.TIMING.maxHoldMillis();
+        owners.takeOverAfterAllGrantsEnded();
+        owners.run(1_000);
+        assertEquals(KeySegment.SLOTS, owners.heldSlots("s2"));
+    }
+
     private List<String> ownersInOrder() {
         return owners.durable.segments().stream()
                 .map(segment -> segment.first() + "-" + segment.last() + " " + segment.owner())
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/SimulatedRouter.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/SimulatedRouter.java
@@ -390,16 +390,16 @@
             if (plan.step() == TableRecovery.Step.READ_LATER) {
                 nextReadAt = plan.readAt();
             } else if (plan.step() == TableRecovery.Step.USE && !tableUncertain) {
-                start(plan.table());
+                start(plan);
             } else {
                 startingTable = plan.table();
-                write(plan.table(), () -> start(plan.table()));
+                write(plan.table(), () -> start(plan));
             }
         }
 
-        private void start(KeyTable table) {
+        private void start(TableRecovery.Plan plan) {
             retained.remove(SERVICE);
-            coordinator = new KeyCoordinator(StoreReturnSimulation.TIMING, this, table, simulation.now);
+            coordinator = plan.start(StoreReturnSimulation.TIMING, this, simulation.now);
         }
 
         private void write(KeyTable table, Runnable whenDone) {
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/TableRecoveryTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/TableRecoveryTest.java
@@ -207,4 +207,14 @@
         assertNull(tables.find(SERVICE, new StoreEra(3)));
         assertNull(tables.find(SERVICE, new StoreEra(2)));
     }
+
+    /** Guards against a second wait for the owners of a restored table, which hold nothing any more. */
+    @Test
+    void restoredTableHasNoHolders() {
+        KeyTable stored = table("s1", 5, 1);
+        assertTrue(plan(2, stored, null, KeyTable.empty(), true, GRANTS_END_AT).grantsEnded());
+        assertFalse(
+                plan(2, stored, table("s1", 9, 1), KeyTable.empty(), true, 0).grantsEnded());
+        assertFalse(plan(2, table("s1", 5, 2), null, KeyTable.empty(), true, 0).grantsEnded());
+    }
 }
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorRole.java
@@ -369,12 +369,12 @@
                     if (servicesWithUncertainTable.contains(service)) {
                         // The store may still carry out an earlier write without a response, until the revision in the
                         // condition of that write is replaced.
-                        writeBeforeStart(plan.table(), "owner-table-settled", plan.reason());
+                        writeBeforeStart(plan, "owner-table-settled");
                     } else {
-                        startCoordinator(plan.table());
+                        startCoordinator(plan);
                     }
                 }
-                case WRITE -> writeBeforeStart(plan.table(), "owner-table-restored", plan.reason());
+                case WRITE -> writeBeforeStart(plan, "owner-table-restored");
                 case READ_LATER -> {
                     nextReadAt = plan.readAt();
                     log.warn(
@@ -393,7 +393,8 @@
         }
 
         /** Writes a table, and starts the key coordinator with it once it is durable. */
-        private void writeBeforeStart(KeyTable table, String event, TableRecovery.Reason reason) {
+        private void writeBeforeStart(TableRecovery.Plan plan, String event) {
+            KeyTable table = plan.table();
             startingTable = table;
             writeTable(table, result -> {
                 log.info(
@@ -401,7 +402,7 @@
                         "service",
                         service,
                         "reason",
-                        reason,
+                        plan.reason(),
                         "status",
                         result.status(),
                         "era",
@@ -413,15 +414,16 @@
                     tableRevision = result.revision();
                     servicesWithUncertainTable.remove(service);
                     routing.ownerView(service).updateTable(table);
-                    startCoordinator(table);
+                    startCoordinator(plan);
                 } else {
                     stop();
                 }
             });
         }
 
-        private void startCoordinator(KeyTable table) {
-            coordinator = new KeyCoordinator(keyTiming(), this, table, clock.millis());
+        private void startCoordinator(TableRecovery.Plan plan) {
+            KeyTable table = plan.table();
+            coordinator = plan.start(keyTiming(), this, clock.millis());
             retainedTables.remove(service);
             log.info(
                     "owner-table-loaded",
