--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/TableRecovery.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/TableRecovery.java
@@ -142,7 +142,7 @@
             return Reason.LATER_ERA;
         } else if (order == 0) {
             return Reason.CURRENT_ERA;
-        } else if (knowledge.retained() != null) {
+        } else if (isNewest(knowledge.retained(), knowledge)) {
             return Reason.OWN_MEMORY;
         } else if (stored != null) {
             return Reason.EARLIER_ERA;
@@ -151,6 +151,14 @@
         return returned ? Reason.TABLE_LOST : Reason.NO_TABLE;
     }
 
+    /** A table with higher tokens may be of a key coordinator of a version that states no era. */
+    private static boolean isNewest(KeyTable retained, Knowledge knowledge) {
+        return retained != null
+                && Stream.of(knowledge.stored(), knowledge.known())
+                        .filter(Objects::nonNull)
+                        .allMatch(table -> table.nextToken().compareTo(retained.nextToken()) <= 0);
+    }
+
     /** Returns the newest table with a token for all segments that is higher than all that were granted. */
     private static KeyTable withNewTokens(Knowledge knowledge) {
         StoreEra current = knowledge.current();
--- a/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/TableRecoveryTest.java
+++ b/jackdawslip-core/src/test/java/org/jackdawslip/internal/keyspace/TableRecoveryTest.java
@@ -208,6 +208,19 @@
         assertNull(tables.find(SERVICE, new StoreEra(2)));
     }
 
+    /** Guards against a memory that counts as exact although a key coordinator of an earlier version acted since. */
+    @Test
+    void memoryIsOutdatedByATableWithHigherTokens() {
+        KeyTable withoutEra = table("s2", 50, 0);
+        assertEquals(
+                TableRecovery.Reason.EARLIER_ERA,
+                plan(2, withoutEra, table("s1", 9, 1), KeyTable.empty(), true, 0)
+                        .reason());
+        assertEquals(
+                TableRecovery.Reason.TABLE_LOST,
+                plan(2, null, table("s1", 9, 1), withoutEra, true, 0).reason());
+    }
+
     /** Guards against a second wait for the owners of a restored table, which hold nothing any more. */
     @Test
     void restoredTableHasNoHolders() {
