--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/http/BackendClientTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/http/BackendClientTest.java
@@ -285,13 +285,18 @@
 
     /** Guards against a response whose status is no status of HTTP, which the caller would get as an answer. */
     @ParameterizedTest
-    @ValueSource(strings = {"000", "001", "099", "0", "20", "0200", "600", "999", "+20", "-20", "20x", "x00"})
+    @ValueSource(
+            strings = {
+                "", "000", "001", "099", "0", "00", "0000", "20", "99", "0200", "600", "999", "+20", "-20", "20x", "x00"
+            })
     void responseWithInvalidStatusIsLost(String status) throws Exception {
         List<String> responses = List.of(
                 "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok",
                 "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n",
                 "HTTP/1.1 " + status + " X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
                 "HTTP/1.1 " + status + " X\r\nNot-Run: true\r\nRequest-Id: " + ID + "\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 " + status + " X\r\nContent-Length: 200000\r\n\r\n" + "a".repeat(200_000),
+                "HTTP/1.1 " + status + " X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
                 "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok");
         try (RawServer server = new RawServer((number, socket) -> RawServer.write(socket, responses.get(number - 1)))) {
             for (String response : responses) {
@@ -300,6 +305,19 @@
         }
     }
 
+    /** Guards against a state report with a status that is no status of HTTP. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "000", "0", "00", "0000", "99", "600"})
+    void healthWithInvalidStatusIsNoReport(String status) throws Exception {
+        String document = "{\"draining\":true}";
+        try (RawServer server = new RawServer((number, socket) -> RawServer.write(
+                socket, "HTTP/1.1 " + status + " X\r\nContent-Length: " + document.length() + "\r\n\r\n" + document))) {
+            assertEquals(
+                    Optional.empty(),
+                    client.health(server(server.port()), Duration.ofSeconds(5)).get());
+        }
+    }
+
     /** Guards against a status that is accepted because of its first three characters. */
     @ParameterizedTest
     @Tag("known-red")
