Lose many revisions in the tests of repeated returns

They lose 200 changes now, and 2 of the 3 tests fail if PlatformView.storeRestored does not reset the revisions.

--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/RepeatedReturnViewTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/RepeatedReturnViewTest.java
@@ -17,6 +17,7 @@
     private static final long SETTLE_MILLIS = 5_000;
     private static final long PROMPT_MILLIS = 1_000;
     private static final int FLEET = 12;
+    private static final int LOST_CHANGES = 200;
 
     private final Random random = new Random(1);
     private SimulatedViews views;
@@ -28,6 +29,13 @@
         views.store.run(PROMPT_MILLIS);
     }
 
+    /** Makes changes that the store loses; their revisions are not reached again soon. */
+    private void writeLostChanges() {
+        for (int i = 0; i < LOST_CHANGES; i++) {
+            views.writeConfig();
+        }
+    }
+
     private List<Long> versions() {
         return views.instances.stream().map(each -> each.config.version()).toList();
     }
@@ -56,7 +64,8 @@
     void instanceThatWasCutOffForTwoReturnsFollowsAgain() {
         start(FLEET);
         SimulatedStore.Copy copy = views.store.takeCopy();
-        views.writeConfig();
+        writeLostChanges();
+        views.store.run(PROMPT_MILLIS);
         SimulatedViews.Instance cutOff = views.instances.get(FLEET - 1);
         cutOff.client.unresponsive(true);
         views.cutLinks(1);
@@ -78,7 +87,7 @@
         start(FLEET);
         SimulatedStore.Copy copy = views.store.takeCopy();
         for (int i = 0; i < 5; i++) {
-            views.writeConfig();
+            writeLostChanges();
             views.store.run(2 + random.nextInt(400));
             views.store.restore(copy, random);
         }
