Let the earlier holder claim the role before processes that start after a return

RestoredRoleTest.processThatStartsAfterAReturnClaimsTheRoleLater passes; without the condition the role is held after 1 s.

--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/durable/StoreEra.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/durable/StoreEra.java
@@ -45,6 +45,11 @@
         }
     }
 
+    /** Returns whether the store has certainly come back from a copy before, whether it counts from 0 or from 1. */
+    public boolean followsReturn() {
+        return number > 1;
+    }
+
     @Override
     public int compareTo(StoreEra other) {
         return Long.compare(number, other.number);
--- a/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/TableRecovery.java
+++ b/jackdawslip-core/src/main/java/org/jackdawslip/internal/keyspace/TableRecovery.java
@@ -25,9 +25,6 @@
     /** Bounds the tokens that are skipped if a table states no era. */
     private static final long MAX_ERA_DISTANCE = 1_000_000;
 
-    /** The highest era of a store that may never have come back, whether it counts from 0 or from 1. */
-    private static final StoreEra FIRST_ERA = new StoreEra(1);
-
     private TableRecovery() {}
 
     /** What the holder of the role does next. */
@@ -147,7 +144,7 @@
         } else if (stored != null) {
             return Reason.EARLIER_ERA;
         }
-        boolean returned = knowledge.returnSeen() || knowledge.current().compareTo(FIRST_ERA) > 0;
+        boolean returned = knowledge.returnSeen() || knowledge.current().followsReturn();
         return returned ? Reason.TABLE_LOST : Reason.NO_TABLE;
     }
 
--- a/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorLease.java
+++ b/jackdawslip-runtime/src/main/java/org/jackdawslip/internal/gateway/KeyCoordinatorLease.java
@@ -75,6 +75,7 @@
 
     private final Listener listener;
     private final String recordKey;
+    private final long startedAt;
 
     /** The live instances, which may all claim the role. */
     private List<InstanceOrder.Candidate> candidates = List.of();
@@ -117,6 +118,7 @@
         this.random = random;
         this.earlierHolder = earlierHolder;
         this.listener = listener;
+        this.startedAt = clock.millis();
         this.recordKey = context.adapter().routerRecordKey(RECORD);
     }
 
@@ -186,7 +188,9 @@
         if (earlierHolder.getAsBoolean()) {
             return 0;
         }
-        boolean restored = clock.millis() - restoredAt < RESTORED_CLAIM_PERIOD_MILLIS;
+        // A process that started after a return must not claim the role before the earlier holder either.
+        long since = eras.current().followsReturn() ? Math.max(startedAt, restoredAt) : restoredAt;
+        boolean restored = clock.millis() - since < RESTORED_CLAIM_PERIOD_MILLIS;
         int rank = Math.min(MAX_CLAIM_RANK, InstanceOrder.rank(candidate, candidates));
         return (restored ? RESTORED_CLAIM_DELAY_MILLIS : 0)
                 + rank * CLAIM_RANK_DELAY_MILLIS
--- a/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/RestoredRoleTest.java
+++ b/jackdawslip-runtime/src/test/java/org/jackdawslip/internal/gateway/RestoredRoleTest.java
@@ -35,7 +35,7 @@
     private final AsyncLineWriter lines =
             new AsyncLineWriter(new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8));
     private final RoleStore store = new RoleStore();
-    private final StoreEraTracker eras = new StoreEraTracker();
+    private StoreEraTracker eras;
     private final LeaseGuard guard = new LeaseGuard(() -> time.now, () -> time.now);
     private boolean earlierHolder;
     private KeyCoordinatorLease role;
@@ -103,6 +103,14 @@
 
     @BeforeEach
     void start() {
+        startInstance();
+        tick(2 * PROMPT_MILLIS);
+        assertTrue(role.isValid());
+        store.leaseCalls.clear();
+    }
+
+    private void startInstance() {
+        eras = new StoreEraTracker();
         GatewaySettings settings = GatewaySettings.builder(new InstanceId("front"), new FailureDomainId("a"))
                 .callerAddresses("", "")
                 .internalAddresses("127.0.0.1:1", "")
@@ -135,9 +143,6 @@
             view.storeRestored();
         });
         view.start();
-        tick(2 * PROMPT_MILLIS);
-        assertTrue(role.isValid());
-        store.leaseCalls.clear();
     }
 
     @AfterEach
@@ -187,6 +192,18 @@
         assertEquals(101, role.revision());
     }
 
+    /** Guards against a new process that gets the role before the earlier holder, which knows the owners of all keys. */
+    @Test
+    void processThatStartsAfterAReturnClaimsTheRoleLater() {
+        store.era = new StoreEra(3);
+        store.record = null;
+        startInstance();
+        tick(PROMPT_MILLIS);
+        assertFalse(role.isHeld());
+        tick(PROMPT_MILLIS);
+        assertTrue(role.isValid());
+    }
+
     /** Guards against a planned stop that ends the lease of another holder before it learns of the return. */
     @Test
     void plannedStopEndsNoLeaseThatMayHaveExpired() {
