--- a/review/standins-2/StreamCase.java
+++ b/review/standins-2/StreamCase.java
@@ -20,7 +20,7 @@
 
     private static final int BODY_BYTES = 60_000;
     private static final int FIRST_PART_BYTES = 50_000;
-    private static final long PAUSE_MILLIS = 2_500;
+    private static final long PAUSE_MILLIS = 2_750;
     private static final int LIMIT_MILLIS = 3_000;
     private static final int CALLERS = 12;
     private static final long WARM_MILLIS = 2_000;
