--- a/review/standins-2/SilenceCase.java
+++ b/review/standins-2/SilenceCase.java
@@ -29,13 +29,13 @@
     /** Time after the start in which instances do not count as established. */
     private static final long ESTABLISHED_MILLIS = 12_000;
 
-    private static final double BURST_START = 2;
-    private static final double FIRST_EVENT = 4;
+    private static final double BURST_START = 1;
+    private static final double FIRST_EVENT = 3;
     private static final double EVENT_GAP = 4;
     private static final int EVENTS = Integer.getInteger("events", 3);
     private static final double BURST_END = FIRST_EVENT + EVENT_GAP * (EVENTS - 1) + 0.5;
     private static final double CALM_START = BURST_END + 10;
-    private static final double END = CALM_START + 55;
+    private static final double END = CALM_START + 73;
 
     private SilenceCase() {}
 
