--- a/review/standins-2/FieldsCase.java
+++ b/review/standins-2/FieldsCase.java
@@ -13,7 +13,7 @@
  */
 final class FieldsCase {
 
-    private static final int CROWD = Integer.getInteger("crowd", 200);
+    private static final int CROWD = Integer.getInteger("crowd", 600);
     /** With 2,700 names of two letters and 1,500 fields the head has 15.7 KB; the limit is 16,384 bytes. */
     private static final int CONNECTION_NAMES = 2_700;
 
